Add the workspace, the design page and a thin path end to end

Cause: an empty repository. Every other part builds on interfaces that are fixed here: the packages, the message schemas, the core's events and effects, and the interfaces of the platform.

Change: schema package with generated messages, core with submission ids, deployment state and a first dispatcher, daemon services on mode, stand-ins of platform and upstream, a harness that starts real processes, a test runner.

Conclusion: the path works as separate processes over loopback TCP; claims, forwarding, ticket spreading, policies and membership are not there yet.

--- /dev/null
+++ b/packages/core/carobramp_core/__init__.py
@@ -0,0 +1,1 @@
+"""Package of carobramp."""
--- /dev/null
+++ b/packages/core/carobramp_core/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Dispatch decisions."""
--- /dev/null
+++ b/packages/core/carobramp_core/dispatch/messages.py
@@ -0,0 +1,211 @@
+"""Events and effects of the dispatcher.
+
+Times are seconds on the monotonic clock of the process unless a name ends in
+``_ms``.
+"""
+
+import dataclasses
+from typing import Any
+
+from carobramp_core.outcomes import JobOutcome, Reason, RetryReason
+from carobramp_core.tickets.state import DeploymentState
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Job:
+    """Accepted submission, ready to be dispatched."""
+
+    submission_id: str
+    service: str
+    team: str
+    priority_class: str
+    received: float
+    deadline: float
+    idempotent: bool
+    payloads: tuple[Any, ...]
+    run_ms: tuple[float, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskId:
+    """A task: the submission and the index in its job."""
+
+    submission_id: str
+    index: int
+
+    def __str__(self):
+        return f"{self.submission_id}:{self.index}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskDone:
+    """The task ran and gave a result."""
+
+    result: Any
+    run_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskFailed:
+    """The task ran and failed."""
+
+    error: str
+    run_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskNotStarted:
+    """The task certainly did not start."""
+
+    reason: RetryReason
+    detail: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskUnknown:
+    """The task may have started; no usable answer came."""
+
+    detail: str
+
+
+TaskOutcome = TaskDone | TaskFailed | TaskNotStarted | TaskUnknown
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamReport:
+    """Load that an upstream stated in an answer."""
+
+    busy: int
+    slots: int
+    leaving: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerLoad:
+    """Load of one team at one other entry VM."""
+
+    team: str
+    running: int
+    waiting: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeersSeen:
+    """Live entry VMs, for slot shares and quotas.
+
+    `zone_vms` and `all_vms` count live VMs of the own availability zone and of
+    the deployment, with this one. `loads` are the latest loads of other VMs.
+    """
+
+    zone_vms: int
+    all_vms: int
+    loads: tuple[PeerLoad, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobSubmitted:
+    """A new job."""
+
+    job: Job
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskAnswered:
+    """Outcome of a task that was started at an upstream."""
+
+    task_id: TaskId
+    upstream: str
+    outcome: TaskOutcome
+    report: UpstreamReport | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobCancelled:
+    """The caller no longer wants the job."""
+
+    submission_id: str
+    reason: Reason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StateInForce:
+    """A new deployment state is in force."""
+
+    state: DeploymentState
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamsLeaving:
+    """Upstreams that the membership list names as leaving; the whole set."""
+
+    names: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tick:
+    """Time passed; due deadlines and guards are handled."""
+
+
+Event = (
+    JobSubmitted
+    | TaskAnswered
+    | JobCancelled
+    | StateInForce
+    | PeersSeen
+    | UpstreamsLeaving
+    | Tick
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartTask:
+    """Send a task to an upstream, once."""
+
+    task_id: TaskId
+    upstream: str
+    host: str
+    port: int
+    connections: int
+    service: str
+    payload: Any
+    run_ms: float
+    timeout: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelTask:
+    """Ask an upstream to stop a task whose answer is no longer needed."""
+
+    task_id: TaskId
+    upstream: str
+    host: str
+    port: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobFinished:
+    """The job has its outcome; given once for each job."""
+
+    submission_id: str
+    outcome: JobOutcome
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Count:
+    """Add to a counter."""
+
+    counter: str
+    kind: str
+    amount: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Observe:
+    """Record a value in a histogram, in milliseconds."""
+
+    histogram: str
+    kind: str
+    value: float
+
+
+Effect = StartTask | CancelTask | JobFinished | Count | Observe
--- /dev/null
+++ b/packages/core/carobramp_core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership decisions."""
--- /dev/null
+++ b/packages/core/carobramp_core/outcomes.py
@@ -0,0 +1,95 @@
+"""Reason codes and tagged outcomes shared by all parts."""
+
+import dataclasses
+import enum
+
+
+class Reason(enum.StrEnum):
+    """Why a request was refused or failed; stable codes for callers."""
+
+    MALFORMED_REQUEST = "malformed_request"
+    BODY_TOO_LARGE = "body_too_large"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_CLASS = "unknown_class"
+    UNKNOWN_TEAM = "unknown_team"
+    TEAM_OVER_QUOTA = "team_over_quota"
+    QUEUE_FULL = "queue_full"
+    DEADLINE_UNMEETABLE = "deadline_unmeetable"
+    NO_UPSTREAM = "no_upstream"
+    DRAINING = "draining"
+    NOT_READY = "not_ready"
+    SUBMISSION_CONFLICT = "submission_conflict"
+    SUBMISSION_EXPIRED = "submission_expired"
+    SUBMISSION_INVALID = "submission_invalid"
+    CLAIM_UNAVAILABLE = "claim_unavailable"
+    TOO_MANY_JOBS = "too_many_jobs"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    TASK_FAILED = "task_failed"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    OWNER_UNREACHABLE = "owner_unreachable"
+    OWNER_GONE = "owner_gone"
+    ANSWER_EVICTED = "answer_evicted"
+    CANCELLED = "cancelled"
+    RETRY_BUDGET_SPENT = "retry_budget_spent"
+    FORWARD_LOST = "forward_lost"
+    TICKET_INVALID = "ticket_invalid"
+    TICKET_NUMBER_TAKEN = "ticket_number_taken"
+    TICKET_NUMBER_GAP = "ticket_number_gap"
+    TICKET_OUT_OF_DATE = "ticket_out_of_date"
+    PLATFORM_UNAVAILABLE = "platform_unavailable"
+    ACCEPTANCE_UNKNOWN = "acceptance_unknown"
+
+
+class RetryReason(enum.StrEnum):
+    """Why a task was sent to another upstream; it had not started."""
+
+    CONNECT_FAILED = "connect_failed"
+    REFUSED_BUSY = "refused_busy"
+    REFUSED_LEAVING = "refused_leaving"
+    REFUSED_OTHER = "refused_other"
+
+
+class Waste(enum.StrEnum):
+    """Kinds of data messages beyond one request and one answer per task."""
+
+    REFUSED_START = "refused_start"
+    CONNECT_FAILED = "connect_failed"
+    RETRY = "retry"
+    CANCEL = "cancel"
+    LATE_ANSWER = "late_answer"
+    DUPLICATE_ANSWER = "duplicate_answer"
+    STRAY_ANSWER = "stray_answer"
+    FORWARD = "forward"
+    PROBE = "probe"
+
+
+@dataclasses.dataclass(frozen=True)
+class JobDone:
+    """Whole answer: one result for each task, in the order of the request."""
+
+    results: tuple
+    run_ms: float
+
+
+@dataclasses.dataclass(frozen=True)
+class JobRefused:
+    """The job was refused before any of its tasks was started."""
+
+    reason: Reason
+    detail: str
+    retry_after: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class JobFailed:
+    """The job failed as a whole.
+
+    `not_run` is true only when it is certain that none of its tasks started.
+    """
+
+    reason: Reason
+    detail: str
+    not_run: bool = False
+
+
+JobOutcome = JobDone | JobRefused | JobFailed
--- /dev/null
+++ b/packages/core/carobramp_core/submission/__init__.py
@@ -0,0 +1,1 @@
+"""Submission decisions."""
--- /dev/null
+++ b/packages/core/carobramp_core/tickets/__init__.py
@@ -0,0 +1,1 @@
+"""Tickets decisions."""
--- /dev/null
+++ b/packages/core/carobramp_core/tickets/state.py
@@ -0,0 +1,106 @@
+"""Immutable deployment state, as set by the accepted tickets."""
+
+import dataclasses
+import hashlib
+from collections.abc import Mapping
+from typing import Any
+
+from carobramp_schema import canonical
+from carobramp_schema.generated.ticket import (
+    ServiceState,
+    TeamState,
+    Ticket,
+    UpstreamState,
+)
+
+KINDS = ("services", "upstreams", "teams")
+
+
+@dataclasses.dataclass(frozen=True)
+class Versioned:
+    """State of one object and the number of the ticket that set it."""
+
+    number: int
+    state: Any
+    digest: bytes
+
+    @classmethod
+    def of(cls, kind, name, number, state):
+        """Build a versioned object with its digest."""
+        content = canonical([kind, name, number, state])
+        return cls(number, state, hashlib.sha256(content).digest())
+
+
+@dataclasses.dataclass(frozen=True)
+class DeploymentState:
+    """Whole state of the deployment after ticket `number`.
+
+    Examples
+    ========
+
+    >>> from carobramp_schema.generated.ticket import TeamChange
+    >>> team = TeamChange("bakery", 0, TeamState(quota_slots=8))
+    >>> state = DeploymentState().apply(Ticket(1, "anna", teams=[team]))
+    >>> state.number, state.team("bakery").quota_slots
+    (1, 8)
+    """
+
+    number: int = 0
+    services: Mapping[str, Versioned] = dataclasses.field(default_factory=dict)
+    upstreams: Mapping[str, Versioned] = dataclasses.field(default_factory=dict)
+    teams: Mapping[str, Versioned] = dataclasses.field(default_factory=dict)
+
+    def service(self, name) -> ServiceState | None:
+        """Return the state of a service, or None."""
+        return _state_of(self.services, name)
+
+    def upstream(self, name) -> UpstreamState | None:
+        """Return the state of an upstream, or None."""
+        return _state_of(self.upstreams, name)
+
+    def team(self, name) -> TeamState | None:
+        """Return the state of a team, or None."""
+        return _state_of(self.teams, name)
+
+    def apply(self, ticket: Ticket) -> "DeploymentState":
+        """Return the state after `ticket`, which must be the next number."""
+        if ticket.number != self.number + 1:
+            raise ValueError(f"ticket {ticket.number} after state {self.number}")
+        changed = {
+            kind: _apply_changes(kind, getattr(self, kind), ticket) for kind in KINDS
+        }
+        return DeploymentState(number=ticket.number, **changed)
+
+    def digest(self) -> str:
+        """Return the digest of the whole state, hexadecimal."""
+        total = hashlib.sha256(str(self.number).encode())
+        for kind in KINDS:
+            objects = getattr(self, kind)
+            for name in sorted(objects):
+                total.update(objects[name].digest)
+        return total.hexdigest()
+
+
+def content_digest(ticket: Ticket) -> str:
+    """Return the digest of a ticket's content, hexadecimal."""
+    return hashlib.sha256(canonical(ticket)).hexdigest()
+
+
+def _state_of(objects, name):
+    versioned = objects.get(name)
+    return versioned.state if versioned else None
+
+
+def _apply_changes(kind, objects, ticket):
+    changes = getattr(ticket, kind)
+    if not changes:
+        return objects
+    result = dict(objects)
+    for change in changes:
+        if change.state is None:
+            result.pop(change.name, None)
+            continue
+        result[change.name] = Versioned.of(
+            kind, change.name, ticket.number, change.state
+        )
+    return result
--- /dev/null
+++ b/packages/daemon/carobramp_daemon/api.py
@@ -0,0 +1,184 @@
+"""HTTP server for callers and operators."""
+
+import functools
+import time
+
+from aiohttp import web
+from mode import Service
+
+from carobramp_core.outcomes import JobDone, JobFailed, JobRefused, Reason
+from carobramp_daemon.problems import problem, problem_response
+from carobramp_daemon.submission import Reply, Submission
+from carobramp_schema import InvalidInput, decode, encode
+from carobramp_schema.generated.caller import (
+    IdsAnswer,
+    IdsRequest,
+    JobAnswer,
+    JobRequest,
+)
+from carobramp_schema.generated.settings import Settings
+
+JSON = "application/json"
+SUBMISSION_HEADER = "Idempotency-Key"
+
+
+class CallerApi(Service):
+    """Serves callers, operators and the balancer."""
+
+    def __init__(self, settings: Settings, submissions, tickets, metrics, log):
+        super().__init__()
+        self.settings = settings
+        self.submissions = submissions
+        self.tickets = tickets
+        self.metrics = metrics
+        self.log_line = log
+        self.draining = False
+        self.accepting = True
+        self.port = 0
+        self.runner = None
+
+    async def on_start(self):
+        """Listen for callers."""
+        app = web.Application(client_max_size=self.settings.limits.max_body_bytes)
+        app.router.add_post("/v1/submission-ids", self.issue_ids)
+        app.router.add_post("/v1/jobs", self.submit_job)
+        app.router.add_delete("/v1/jobs/{submission_id}", self.cancel_job)
+        app.router.add_get("/healthz", self.health)
+        app.router.add_get("/readyz", self.readiness)
+        app.router.add_get("/v1/status", self.status)
+        app.router.add_get("/metrics", self.show_metrics)
+        self.tickets.add_routes(app.router)
+        self.runner = web.AppRunner(
+            app,
+            access_log=None,
+            max_field_size=self.settings.limits.max_header_bytes,
+            handler_cancellation=True,
+        )
+        await self.runner.setup()
+        vm = self.settings.vm
+        site = web.TCPSite(self.runner, vm.host, vm.caller_port)
+        await site.start()
+        self.port = self.runner.addresses[0][1]
+        self.log_line.info("listening", port=self.port)
+
+    async def on_stop(self):
+        """Stop listening; answers under way are finished first."""
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    async def read(self, request, kind):
+        """Return the checked body and its bytes, or an error response."""
+        try:
+            data = await request.read()
+        except web.HTTPRequestEntityTooLarge:
+            limit = self.settings.limits.max_body_bytes
+            detail = f"the body is over {limit} bytes"
+            return self.refuse(Reason.BODY_TOO_LARGE, detail), b""
+        message = decode(data, kind)
+        if isinstance(message, InvalidInput):
+            details = problem(
+                Reason.MALFORMED_REQUEST,
+                str(message),
+                not_run=SUBMISSION_HEADER not in request.headers,
+                invalid=message,
+            )
+            self.metrics.count("refusals", Reason.MALFORMED_REQUEST)
+            return problem_response(details), data
+        return message, data
+
+    def refuse(self, reason, detail, retry_after=0.0):
+        """Count and build a refusal that carries no submission."""
+        self.metrics.count("refusals", reason)
+        return problem_response(problem(reason, detail), retry_after)
+
+    async def issue_ids(self, request):
+        """Hand out submission ids."""
+        message, _ = await self.read(request, IdsRequest)
+        if isinstance(message, web.Response):
+            return message
+        ids = self.submissions.issue(message.count)
+        valid = self.settings.submission.issued_valid_ms
+        return web.Response(body=encode(IdsAnswer(ids, valid)), content_type=JSON)
+
+    async def submit_job(self, request):
+        """Run a job and answer with its whole answer or a failure."""
+        received = time.monotonic()
+        message, body = await self.read(request, JobRequest)
+        if isinstance(message, web.Response):
+            return message
+        key = request.headers.get(SUBMISSION_HEADER, "")
+        submission = Submission(key, message, body, received)
+        reply = await self.submissions.submit(submission)
+        kind = message.priority_class
+        self.metrics.observe("response_ms", kind, (time.monotonic() - received) * 1000)
+        return respond(reply.outcome, reply, self.metrics)
+
+    async def cancel_job(self, request):
+        """Cancel a job."""
+        found = self.submissions.cancel(request.match_info["submission_id"])
+        return web.Response(status=202 if found else 404)
+
+    async def health(self, request):
+        """Whether the process is alive."""
+        return web.Response(text="alive\n")
+
+    async def readiness(self, request):
+        """Whether the balancer may send requests here."""
+        if self.draining:
+            return web.Response(status=503, text="draining\n")
+        if not self.tickets.ready:
+            return web.Response(status=503, text=f"{self.tickets.not_ready_reason}\n")
+        return web.Response(text="ready\n")
+
+    async def status(self, request):
+        """State of this VM."""
+        body = {
+            "vm": self.settings.vm.name,
+            "availability_zone": self.settings.vm.availability_zone,
+            "ready": self.tickets.ready and not self.draining,
+            "state_number": self.tickets.in_force.number,
+            "jobs": len(self.submissions.records),
+        }
+        return web.Response(body=encode(body), content_type=JSON)
+
+    async def show_metrics(self, request):
+        """Metrics in the text exposition format."""
+        return web.Response(text=self.metrics.exposition())
+
+
+@functools.singledispatch
+def respond(outcome, reply: Reply, metrics):
+    """Return the HTTP response for the outcome of a job."""
+    raise TypeError(f"unknown outcome {outcome!r}")
+
+
+@respond.register
+def _(outcome: JobDone, reply, metrics):
+    metrics.count("jobs", "done")
+    answer = JobAnswer(reply.submission_id, list(outcome.results), outcome.run_ms)
+    return web.Response(body=encode(answer), content_type=JSON)
+
+
+@respond.register
+def _(outcome: JobRefused, reply, metrics):
+    metrics.count("jobs", "refused")
+    return respond_problem(reply, metrics, outcome.retry_after)
+
+
+@respond.register
+def _(outcome: JobFailed, reply, metrics):
+    metrics.count("jobs", "failed")
+    return respond_problem(reply, metrics, 0.0)
+
+
+def respond_problem(reply, metrics, retry_after):
+    """Count a failure and return it as problem details."""
+    outcome = reply.outcome
+    metrics.count("refusals", outcome.reason)
+    details = problem(
+        outcome.reason,
+        outcome.detail,
+        not_run=reply.not_run,
+        submission_id=reply.submission_id,
+    )
+    return problem_response(details, retry_after)
--- /dev/null
+++ b/packages/daemon/carobramp_daemon/daemon.py
@@ -0,0 +1,100 @@
+"""The daemon of an entry VM: starts the services and stops them gracefully."""
+
+import asyncio
+import secrets
+import signal
+
+from mode import Service
+
+from carobramp_core.submission.ids import IdIssuer
+from carobramp_daemon.api import CallerApi
+from carobramp_daemon.dispatch import DispatchService
+from carobramp_daemon.logs import Log
+from carobramp_daemon.metrics import Metrics
+from carobramp_daemon.platform import PlatformClient
+from carobramp_daemon.submission import SubmissionService
+from carobramp_daemon.tickets import TicketService
+from carobramp_daemon.upstreams import UpstreamClient
+from carobramp_schema.generated.settings import Settings
+
+INCARNATION_BYTES = 8
+KEY_BYTES = 16
+DRAIN_POLL_S = 0.05
+
+
+class Daemon(Service):
+    """All services of an entry VM."""
+
+    def __init__(self, settings: Settings):
+        super().__init__()
+        self.settings = settings
+        self.metrics = Metrics()
+        self.incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self.log_line = self.new_log("daemon")
+        issuer = IdIssuer(
+            settings.vm.name, self.incarnation, secrets.token_bytes(KEY_BYTES)
+        )
+        self.platform = PlatformClient(
+            settings.platform, self.metrics, self.new_log("platform")
+        )
+        self.upstreams = UpstreamClient(
+            settings, self.metrics, self.new_log("upstream")
+        )
+        self.dispatch = DispatchService(
+            settings.dispatch, self.upstreams, self.job_finished, self.metrics
+        )
+        self.submissions = SubmissionService(
+            settings, issuer, self.dispatch, self.metrics, self.new_log("submission")
+        )
+        self.tickets = TicketService(
+            settings, self.platform, self.dispatch, self.metrics, self.new_log("ticket")
+        )
+        self.api = CallerApi(
+            settings, self.submissions, self.tickets, self.metrics, self.new_log("api")
+        )
+
+    def job_finished(self, event):
+        """Hand the outcome of a job to its submission."""
+        self.submissions.finished(event)
+
+    def new_log(self, prefix):
+        """Return the log of one part."""
+        return Log(prefix, self.settings.vm.name)
+
+    def on_init_dependencies(self):
+        """Services in start order; they stop in reverse order."""
+        return [
+            self.platform,
+            self.upstreams,
+            self.dispatch,
+            self.submissions,
+            self.tickets,
+            self.api,
+        ]
+
+    async def drain(self):
+        """Take no new jobs and wait for those under way."""
+        self.api.draining = True
+        self.log_line.info("draining")
+        await asyncio.sleep(self.settings.drain.drain_notice_ms / 1000)
+        self.api.accepting = False
+        try:
+            async with asyncio.timeout(self.settings.drain.drain_max_ms / 1000):
+                while self.dispatch.dispatcher.jobs:
+                    await asyncio.sleep(DRAIN_POLL_S)
+        except TimeoutError:
+            self.log_line.info("drain took too long")
+
+
+async def run_daemon(settings: Settings):
+    """Run the daemon until SIGTERM or SIGINT, then drain and stop it."""
+    daemon = Daemon(settings)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await daemon.start()
+    print(f"listening {settings.vm.host} {daemon.api.port}", flush=True)
+    await stop.wait()
+    await daemon.drain()
+    await daemon.stop()
--- /dev/null
+++ b/packages/daemon/carobramp_daemon/dispatch.py
@@ -0,0 +1,99 @@
+"""Service that owns the dispatcher."""
+
+import asyncio
+import functools
+import random
+import time
+
+from mode import Service
+
+from carobramp_core.dispatch.engine import Dispatcher
+from carobramp_core.dispatch.messages import (
+    CancelTask,
+    Count,
+    JobFinished,
+    Observe,
+    StartTask,
+    Tick,
+)
+from carobramp_schema.generated.settings import DispatchSettings
+
+
+class DispatchService(Service):
+    """Feeds events to the dispatcher and carries out its effects.
+
+    Parameters
+    ==========
+
+    settings : dispatch settings
+    upstreams : client that carries out `StartTask` and `CancelTask`
+    on_finished : called with each `JobFinished`
+    metrics : metrics of the daemon
+    """
+
+    def __init__(self, settings: DispatchSettings, upstreams, on_finished, metrics):
+        super().__init__()
+        rng = random.Random(settings.seed or None)
+        self.dispatcher = Dispatcher(settings, rng)
+        self.upstreams = upstreams
+        self.on_finished = on_finished
+        self.metrics = metrics
+        self.inbox: asyncio.Queue = asyncio.Queue()
+
+    def send(self, event):
+        """Put an event into the inbox."""
+        self.inbox.put_nowait(event)
+
+    @Service.task
+    async def handle_events(self):
+        """Handle events and wake-ups until the service stops."""
+        while not self.should_stop:
+            event = await self.next_event()
+            effects = self.dispatcher.handle(event, time.monotonic())
+            for effect in effects:
+                carry_out(effect, self)
+
+    async def next_event(self):
+        """Return the next event, or `Tick` when a wake-up is due."""
+        if not self.inbox.empty():
+            return self.inbox.get_nowait()
+        now = time.monotonic()
+        wakeup = self.dispatcher.next_wakeup(now)
+        timeout = None if wakeup is None else max(0.0, wakeup - now)
+        try:
+            async with asyncio.timeout(timeout):
+                return await self.inbox.get()
+        except TimeoutError:
+            return Tick()
+
+
+@functools.singledispatch
+def carry_out(effect, service):
+    """Carry out one effect of the dispatcher."""
+    raise TypeError(f"unknown effect {effect!r}")
+
+
+@carry_out.register
+def _(effect: StartTask, service):
+    service.metrics.count("task_starts", effect.service)
+    service.upstreams.start_task(effect, service.send)
+
+
+@carry_out.register
+def _(effect: CancelTask, service):
+    service.upstreams.cancel_task(effect)
+
+
+@carry_out.register
+def _(effect: JobFinished, service):
+    service.on_finished(effect)
+
+
+@carry_out.register
+def _(effect: Count, service):
+    service.metrics.count(effect.counter, effect.kind, effect.amount)
+
+
+@carry_out.register
+def _(effect: Observe, service):
+    service.metrics.observe(effect.histogram, effect.kind, effect.value)
--- /dev/null
+++ b/packages/testing/carobramp_testing/processes.py
@@ -0,0 +1,248 @@
+"""Starts the processes of a small deployment on loopback and ends them by id."""
+
+import asyncio
+import os
+import signal
+import sys
+import tempfile
+
+import aiohttp
+
+from carobramp_schema import encode
+from carobramp_schema.generated.settings import Settings
+from carobramp_testing.builders import first_ticket, vm_settings
+
+START_TIMEOUT_S = 30
+STOP_TIMEOUT_S = 30
+WAIT_TIMEOUT_S = 20
+WAIT_POLL_S = 0.02
+HTTP_OK = 200
+ZONES = ("tilburg", "breda", "eindhoven")
+
+
+async def wait_for(condition, timeout=WAIT_TIMEOUT_S):
+    """Wait until the coroutine function `condition` returns something true."""
+    async with asyncio.timeout(timeout):
+        while True:
+            result = await condition()
+            if result:
+                return result
+            await asyncio.sleep(WAIT_POLL_S)
+
+
+class Process:
+    """Child process that prints its addresses when it is ready."""
+
+    def __init__(self, arguments, addresses=1, log_path=None):
+        self.arguments = arguments
+        self.count = addresses
+        self.log_path = log_path
+        self.addresses: list[tuple[str, int]] = []
+        self.child = None
+
+    async def start(self):
+        """Start the process and wait for its addresses."""
+        log = open(self.log_path, "ab") if self.log_path else asyncio.subprocess.DEVNULL  # noqa: ASYNC230, SIM115
+        self.child = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *self.arguments,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=log,
+            start_new_session=True,
+        )
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while len(self.addresses) < self.count:
+                self.read_address(await self.child.stdout.readline())
+        return self
+
+    def read_address(self, line):
+        """Take one line of standard output."""
+        words = line.decode().split()
+        if not words:
+            raise RuntimeError(f"{self.arguments} ended before it was ready")
+        if words[0] == "listening":
+            self.addresses.append((words[1], int(words[2])))
+
+    def signal(self, number):
+        """Send a signal to the process, if it still runs."""
+        if self.child is not None and self.child.returncode is None:
+            os.kill(self.child.pid, number)
+
+    async def wait(self, timeout=STOP_TIMEOUT_S):
+        """Wait for the end of the process and return its status."""
+        async with asyncio.timeout(timeout):
+            return await self.child.wait()
+
+    async def kill(self):
+        """End the process at once."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        if self.child is not None:
+            await self.child.wait()
+
+
+class Deployment:
+    """Platform, upstreams and entry VMs as processes on loopback.
+
+    Parameters
+    ==========
+
+    zones : names of the availability zones
+    vms_per_zone : entry VMs in each zone
+    speeds : speed of each upstream of a zone
+    slots : slots of each upstream
+    settings : sections of the entry VMs' settings
+    service : fields of the service's state
+    """
+
+    def __init__(
+        self,
+        zones=ZONES[:1],
+        vms_per_zone=1,
+        speeds=(1.0,),
+        slots=8,
+        settings=None,
+        service=None,
+    ):
+        self.zones = zones
+        self.vms_per_zone = vms_per_zone
+        self.speeds = speeds
+        self.slots = slots
+        self.settings = settings or {}
+        self.service = service or {}
+        self.folder = tempfile.TemporaryDirectory(prefix="carobramp-")
+        self.platform = None
+        self.upstreams: dict[str, Process] = {}
+        self.vms: dict[str, Process] = {}
+        self.vm_settings: dict[str, Settings] = {}
+        self.processes: list[Process] = []
+        self.session = None
+
+    async def __aenter__(self):
+        try:
+            await self.start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def __aexit__(self, *exception):
+        for process in reversed(self.processes):
+            await process.kill()
+        if self.session is not None:
+            await self.session.close()
+        self.folder.cleanup()
+
+    async def start(self):
+        """Start everything and put the first ticket into force."""
+        self.session = aiohttp.ClientSession()
+        self.platform = await self.launch(
+            Process(["-m", "carobramp_testing.standins.platform"])
+        )
+        for zone in self.zones:
+            await self.start_upstreams(zone)
+        names = [f"{zone}-{n}" for zone in self.zones for n in range(self.vms_per_zone)]
+        await asyncio.gather(*(self.start_vm(name) for name in names))
+        await self.put_ticket(names[0], self.first_ticket())
+        await asyncio.gather(*(self.wait_ready(name) for name in names))
+
+    async def launch(self, process):
+        """Start a process and keep it for the clean-up."""
+        self.processes.append(process)
+        return await process.start()
+
+    async def start_upstreams(self, zone):
+        """Start the upstreams of a zone in one process."""
+        speeds = ",".join(str(speed) for speed in self.speeds)
+        arguments = ["-m", "carobramp_testing.standins.upstream"]
+        arguments += ["--slots", str(self.slots), "--speeds", speeds]
+        process = Process(arguments, addresses=len(self.speeds))
+        self.upstreams[zone] = await self.launch(process)
+
+    async def start_vm(self, name):
+        """Start an entry VM; again after its end for a new incarnation."""
+        zone = name.rsplit("-", 1)[0]
+        settings = self.vm_settings.get(name)
+        if settings is None:
+            sections = {k: dict(v) for k, v in self.settings.items()}
+            settings = vm_settings(name, self.platform_url, zone, **sections)
+            self.vm_settings[name] = settings
+        path = os.path.join(self.folder.name, f"{name}.json")
+        with open(path, "wb") as file:  # noqa: ASYNC230
+            file.write(encode(settings))
+        arguments = ["-m", "carobramp_daemon.main", f"--settings={path}"]
+        log_path = os.path.join(self.folder.name, f"{name}.log")
+        self.vms[name] = await self.launch(Process(arguments, log_path=log_path))
+
+    @property
+    def platform_url(self):
+        """Base URL of the stand-in platform."""
+        host, port = self.platform.addresses[0]
+        return f"http://{host}:{port}"
+
+    def url(self, vm):
+        """Base URL of an entry VM for callers."""
+        host, port = self.vms[vm].addresses[0]
+        return f"http://{host}:{port}"
+
+    def upstream_urls(self, zone=None):
+        """Base URLs of the upstreams, of one zone or of all."""
+        zones = [zone] if zone else self.zones
+        addresses = [a for z in zones for a in self.upstreams[z].addresses]
+        return [f"http://{host}:{port}" for host, port in addresses]
+
+    def first_ticket(self):
+        """Ticket that creates the service on all upstreams."""
+        addresses = [
+            (zone, host, port)
+            for zone in self.zones
+            for host, port in self.upstreams[zone].addresses
+        ]
+        return first_ticket(addresses, slots=self.slots, **self.service)
+
+    async def put_ticket(self, vm, ticket):
+        """Put a ticket at an entry VM; return status and body."""
+        url = f"{self.url(vm)}/v1/tickets/{ticket.number}"
+        async with self.session.put(url, data=encode(ticket)) as response:
+            return response.status, await response.json(content_type=None)
+
+    async def wait_ready(self, vm):
+        """Wait until an entry VM is ready and has a ticket in force."""
+
+        async def ready():
+            status = await self.get_json(f"{self.url(vm)}/v1/status")
+            return status["ready"] and status["state_number"] > 0
+
+        await wait_for(ready)
+
+    async def get_json(self, url):
+        """Get a JSON document."""
+        async with self.session.get(url) as response:
+            return await response.json()
+
+    async def post_json(self, url, body):
+        """Post a JSON document."""
+        async with self.session.post(url, json=body) as response:
+            return await response.json()
+
+    async def submit(self, vm, request, key="", session=None):
+        """Submit a job; return status and body."""
+        headers = {"Idempotency-Key": key} if key else {}
+        url = f"{self.url(vm)}/v1/jobs"
+        session = session or self.session
+        async with session.post(url, data=encode(request), headers=headers) as response:
+            return response.status, await response.json(content_type=None)
+
+    async def new_id(self, vm):
+        """Return a submission id issued by an entry VM."""
+        body = await self.post_json(f"{self.url(vm)}/v1/submission-ids", {"count": 1})
+        return body["ids"][0]
+
+    async def starts(self):
+        """Return the number of starts of each task, over all upstreams."""
+        starts: dict[str, int] = {}
+        for url in self.upstream_urls():
+            records = await self.get_json(f"{url}/records")
+            for task_id, count in records["starts"].items():
+                starts[task_id] = starts.get(task_id, 0) + count
+        return starts
--- /dev/null
+++ b/packages/testing/carobramp_testing/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for upstreams."""
