--- a/packages/daemon/carobramp_daemon/daemon.py
+++ b/packages/daemon/carobramp_daemon/daemon.py
@@ -10,7 +10,9 @@
 from carobramp_daemon.api import CallerApi
 from carobramp_daemon.dispatch import DispatchService
 from carobramp_daemon.logs import Log
+from carobramp_daemon.membership import MembershipService
 from carobramp_daemon.metrics import Metrics
+from carobramp_daemon.peers import PeerApi, PeerClients, PeerHandlers
 from carobramp_daemon.platform import PlatformClient
 from carobramp_daemon.submission import SubmissionService
 from carobramp_daemon.tickets import TicketService
@@ -40,6 +42,18 @@
         self.upstreams = UpstreamClient(
             settings, self.metrics, self.new_log("upstream")
         )
+        self.handlers = PeerHandlers()
+        self.peer_api = PeerApi(
+            settings, self.handlers, self.metrics, self.new_log("peer")
+        )
+        self.peers = PeerClients(settings, self.metrics, self.new_log("peer"))
+        self.membership = MembershipService(
+            settings,
+            self.platform,
+            self.peers,
+            self.metrics,
+            self.new_log("membership"),
+        )
         self.dispatch = DispatchService(
             settings.dispatch, self.upstreams, self.job_finished, self.metrics
         )
@@ -66,9 +80,12 @@
         return [
             self.platform,
             self.upstreams,
+            self.peers,
             self.dispatch,
             self.submissions,
+            self.membership,
             self.tickets,
+            self.peer_api,
             self.api,
         ]
 
@@ -94,7 +111,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     await daemon.start()
-    print(f"listening {settings.vm.host} {daemon.api.port}", flush=True)
+    for port in (daemon.api.port, daemon.peer_api.port):
+        print(f"listening {settings.vm.host} {port}", flush=True)
     await stop.wait()
     await daemon.drain()
     await daemon.stop()
--- /dev/null
+++ b/packages/daemon/carobramp_daemon/peers.py
@@ -0,0 +1,189 @@
+"""Calls between entry VMs: server and clients on grpclib."""
+
+import asyncio
+import dataclasses
+from collections.abc import Awaitable, Callable
+
+import grpclib.exceptions
+from grpclib.client import Channel
+from grpclib.server import Server
+from mode import Service
+
+from carobramp_schema.generated import peer_grpc
+from carobramp_schema.generated.settings import Settings
+
+Handler = Callable[..., Awaitable]
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerUnreachable:
+    """No usable reply came.
+
+    `maybe_received` is false only when the request certainly did not arrive.
+    """
+
+    detail: str
+    maybe_received: bool
+
+
+@dataclasses.dataclass
+class PeerHandlers:
+    """Handlers of the calls from other entry VMs, set by the services.
+
+    Each takes the request message and returns the reply message; `fetch_state`
+    returns a list of chunks.
+    """
+
+    heartbeat: Handler | None = None
+    forward: Handler | None = None
+    cancel: Handler | None = None
+    fetch_tickets: Handler | None = None
+    fetch_state: Handler | None = None
+    notify_ticket: Handler | None = None
+
+
+class PeerApi(Service, peer_grpc.PeerBase):
+    """Serves other entry VMs."""
+
+    def __init__(self, settings: Settings, handlers: PeerHandlers, metrics, log):
+        super().__init__()
+        self.settings = settings
+        self.handlers = handlers
+        self.metrics = metrics
+        self.log_line = log
+        self.server: Server
+        self.port = 0
+
+    async def on_start(self):
+        """Listen for other entry VMs."""
+        vm = self.settings.vm
+        self.server = Server([self])
+        await self.server.start(vm.host, vm.peer_port)
+        self.port = self.server._server.sockets[0].getsockname()[1]
+        self.log_line.info("listening", port=self.port)
+
+    async def on_stop(self):
+        """Stop listening."""
+        self.server.close()
+        await self.server.wait_closed()
+
+    async def answer(self, stream, call, handler):
+        """Answer one unary call by its handler."""
+        request = await stream.recv_message()
+        reply = await handler(request)
+        self.count(call, request, reply)
+        await stream.send_message(reply)
+
+    def count(self, call, *messages):
+        """Count messages and their bytes."""
+        size = sum(message.ByteSize() for message in messages)
+        self.metrics.count("peer_messages", call, len(messages))
+        self.metrics.count("peer_bytes", call, size)
+
+    async def Heartbeat(self, stream):
+        """Exchange status with a peer."""
+        await self.answer(stream, "heartbeat", self.handlers.heartbeat)
+
+    async def Forward(self, stream):
+        """Run a job that this process owns."""
+        await self.answer(stream, "forward", self.handlers.forward)
+
+    async def Cancel(self, stream):
+        """Cancel a job that this process owns."""
+        await self.answer(stream, "cancel", self.handlers.cancel)
+
+    async def FetchTickets(self, stream):
+        """Return accepted tickets."""
+        await self.answer(stream, "fetch_tickets", self.handlers.fetch_tickets)
+
+    async def FetchState(self, stream):
+        """Stream the state in force."""
+        request = await stream.recv_message()
+        chunks = await self.handlers.fetch_state(request)
+        self.count("fetch_state", request, *chunks)
+        for chunk in chunks:
+            await stream.send_message(chunk)
+
+    async def NotifyTicket(self, stream):
+        """Learn of a newer ticket number."""
+        await self.answer(stream, "notify_ticket", self.handlers.notify_ticket)
+
+
+class PeerClients(Service):
+    """Channels to other entry VMs, one for each address, opened on demand."""
+
+    def __init__(self, settings: Settings, metrics, log):
+        super().__init__()
+        self.settings = settings
+        self.metrics = metrics
+        self.log_line = log
+        self.channels: dict[tuple[str, int], Channel] = {}
+
+    async def on_stop(self):
+        """Close all channels."""
+        for channel in self.channels.values():
+            channel.close()
+
+    def stub(self, address):
+        """Return the stub of the peer at (host, port)."""
+        channel = self.channels.get(address)
+        if channel is None:
+            channel = self.channels[address] = Channel(*address)
+        return peer_grpc.PeerStub(channel)
+
+    def forget(self, address):
+        """Close the channel to an address that is no longer used."""
+        channel = self.channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    async def call(self, address, call, request, timeout):
+        """Send a unary call once; return its reply or `PeerUnreachable`.
+
+        Parameters
+        ==========
+
+        address : (host, port) of the peer
+        call : name of the call, for instance ``"Heartbeat"``
+        request : request message
+        timeout : longest wait, in seconds
+        """
+        method = getattr(self.stub(address), call)
+        try:
+            async with asyncio.timeout(timeout):
+                reply = await method(request)
+        except ConnectionRefusedError as error:
+            return PeerUnreachable(repr(error), maybe_received=False)
+        except (
+            OSError,
+            TimeoutError,
+            grpclib.exceptions.GRPCError,
+            grpclib.exceptions.StreamTerminatedError,
+            grpclib.exceptions.ProtocolError,
+        ) as error:
+            return PeerUnreachable(repr(error), maybe_received=True)
+        self.count(call, request, reply)
+        return reply
+
+    async def stream(self, address, call, request, timeout):
+        """Send a call with streamed replies; return them or `PeerUnreachable`."""
+        method = getattr(self.stub(address), call)
+        try:
+            async with asyncio.timeout(timeout):
+                replies = await method(request)
+        except (
+            OSError,
+            TimeoutError,
+            grpclib.exceptions.GRPCError,
+            grpclib.exceptions.StreamTerminatedError,
+            grpclib.exceptions.ProtocolError,
+        ) as error:
+            return PeerUnreachable(repr(error), maybe_received=True)
+        self.count(call, request, *replies)
+        return replies
+
+    def count(self, call, *messages):
+        """Count messages and their bytes."""
+        size = sum(message.ByteSize() for message in messages)
+        self.metrics.count("peer_messages", call, len(messages))
+        self.metrics.count("peer_bytes", call, size)
--- a/packages/testing/carobramp_testing/processes.py
+++ b/packages/testing/carobramp_testing/processes.py
@@ -7,6 +7,7 @@
 import tempfile
 
 import aiohttp
+import msgspec
 
 from carobramp_schema import encode
 from carobramp_schema.generated.settings import Settings
@@ -143,6 +144,7 @@
             await self.start_upstreams(zone)
         names = [f"{zone}-{n}" for zone in self.zones for n in range(self.vms_per_zone)]
         await asyncio.gather(*(self.start_vm(name) for name in names))
+        await self.publish_members()
         await self.put_ticket(names[0], self.first_ticket())
         await asyncio.gather(*(self.wait_ready(name) for name in names))
 
@@ -172,7 +174,32 @@
             file.write(encode(settings))
         arguments = ["-m", "carobramp_daemon.main", f"--settings={path}"]
         log_path = os.path.join(self.folder.name, f"{name}.log")
-        self.vms[name] = await self.launch(Process(arguments, log_path=log_path))
+        process = Process(arguments, addresses=2, log_path=log_path)
+        self.vms[name] = await self.launch(process)
+        self.keep_ports(name)
+
+    def keep_ports(self, name):
+        """Let a VM that is started again listen on the same ports."""
+        settings = self.vm_settings[name]
+        (_, caller_port), (_, peer_port) = self.vms[name].addresses
+        vm = msgspec.structs.replace(
+            settings.vm, caller_port=caller_port, peer_port=peer_port
+        )
+        self.vm_settings[name] = msgspec.structs.replace(settings, vm=vm)
+
+    async def publish_members(self, leaving=()):
+        """Give the platform's membership list the VMs that were started."""
+        entries = [
+            {
+                "name": name,
+                "host": settings.vm.host,
+                "peer_port": settings.vm.peer_port,
+                "availability_zone": settings.vm.availability_zone,
+                "leaving": name in leaving,
+            }
+            for name, settings in self.vm_settings.items()
+        ]
+        await self.post_json(f"{self.platform_url}/members/set", {"vms": entries})
 
     @property
     def platform_url(self):
