--- /dev/null
+++ b/packages/core/carobramp_core/membership/view.py
@@ -0,0 +1,365 @@
+"""View that an entry VM has of the other entry VMs.
+
+Explanation
+===========
+
+Candidates come from the settings, the platform's list and the heartbeats. Only
+heartbeats make a VM live. The list adds candidates and marks VMs as leaving; it
+removes nobody who is heard from.
+"""
+
+import dataclasses
+import functools
+
+from carobramp_core.dispatch.messages import PeerLoad, PeersSeen
+from carobramp_core.platform import VmEntry
+from carobramp_schema.generated.settings import MembershipSettings
+
+Address = tuple[str, int]
+
+MAX_MEMBERS = 1024
+"""Candidates kept at most; invented names must not fill the memory."""
+
+SILENT_TURN = 4
+"""Every fourth far heartbeat of a zone goes to a silent VM, if there is one."""
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerStatus:
+    """Status that a VM stated in a heartbeat.
+
+    `loads` is None when the heartbeat left them out. `zone_peers` is the number of
+    live VMs of its zone, without it. `address` is None when it stated none.
+    """
+
+    vm: str
+    zone: str
+    incarnation: str
+    address: Address | None
+    leaving: bool
+    number: int
+    digest: str
+    heard: int
+    loads: tuple[PeerLoad, ...] | None
+    zone_peers: int
+
+
+@dataclasses.dataclass(frozen=True)
+class StatusHeard:
+    """A heartbeat came from a VM or was answered by it."""
+
+    status: PeerStatus
+
+
+@dataclasses.dataclass(frozen=True)
+class ListSeen:
+    """The platform's list was read; `upstreams` are the names in the state."""
+
+    entries: tuple[VmEntry, ...]
+    upstreams: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True)
+class Tick:
+    """Time passed; VMs that have been silent for long are dropped."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Appeared:
+    """A VM became live."""
+
+    vm: str
+
+
+@dataclasses.dataclass(frozen=True)
+class WentSilent:
+    """A VM is no longer live."""
+
+    vm: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Forgotten:
+    """A VM is no longer a candidate."""
+
+    vm: str
+    address: Address | None
+
+
+@dataclasses.dataclass
+class Member:
+    """What is known of one other VM."""
+
+    name: str
+    zone: str
+    settings_address: Address | None = None
+    list_address: Address | None = None
+    own_address: Address | None = None
+    list_leaving: bool = False
+    added_at: float = 0.0
+    heard_at: float | None = None
+    tried_at: float | None = None
+    was_live: bool = False
+    status: PeerStatus | None = None
+    loads: tuple[PeerLoad, ...] = ()
+    loads_at: float = 0.0
+
+    @property
+    def address(self) -> Address | None:
+        """Address for calls: the settings before the list before its own words."""
+        return self.settings_address or self.list_address or self.own_address
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the list or the VM itself says that it is leaving."""
+        return self.list_leaving or bool(self.status and self.status.leaving)
+
+    def silent_for(self, now: float) -> float:
+        """Return the time since it was heard, or since it became a candidate."""
+        return now - (self.added_at if self.heard_at is None else self.heard_at)
+
+
+class MembershipView:
+    """Candidates and their liveness, owned by the membership task."""
+
+    def __init__(self, vm, zone, settings: MembershipSettings, peers, now):
+        self.vm = vm
+        self.zone = zone
+        self.settings = settings
+        self.members: dict[str, Member] = {}
+        self.marked_leaving: dict[str, float] = {}
+        self.turns: dict[str, int] = {}
+        for peer in peers:
+            if peer.name != vm:
+                member = self.member(peer.name, peer.availability_zone, now)
+                member.settings_address = (peer.host, peer.peer_port)
+
+    def handle(self, event, now: float) -> list:
+        """Take an event at time `now`; return what changed."""
+        changes: list = []
+        on_event(event, self, now, changes)
+        return changes
+
+    def member(self, name, zone, now):
+        """Return the member with `name`, added when new; None when full."""
+        member = self.members.get(name)
+        if member is None:
+            if len(self.members) >= MAX_MEMBERS:
+                return None
+            member = self.members[name] = Member(name, zone, added_at=now)
+        return member
+
+    def window(self, member):
+        """Return the silence after which a VM is not live, in seconds."""
+        near = member.zone == self.zone
+        ms = self.settings.live_ms if near else self.settings.far_live_ms
+        return ms / 1000
+
+    def is_live(self, member, now):
+        """Whether a VM was heard from within its window."""
+        heard = member.heard_at
+        return heard is not None and now - heard <= self.window(member)
+
+    def live_peers(self, now: float) -> list[Member]:
+        """Return the live VMs, without this one."""
+        return [m for m in self.members.values() if self.is_live(m, now)]
+
+    def zone_peers(self, now: float) -> list[Member]:
+        """Return the live VMs of this zone, without this one."""
+        return [m for m in self.live_peers(now) if m.zone == self.zone]
+
+    def address_of(self, vm: str) -> Address | None:
+        """Return the address for calls to a VM, or None when unknown."""
+        member = self.members.get(vm)
+        return member.address if member else None
+
+    def notify_targets(self, now: float) -> list[Member]:
+        """Return the live VMs of this zone and one live VM of each other zone."""
+        live = [m for m in self.live_peers(now) if m.address]
+        first = {m.zone: m for m in reversed(live) if m.zone != self.zone}
+        return [m for m in live if m.zone == self.zone] + list(first.values())
+
+    def near_targets(self, now: float) -> list[Member]:
+        """Return the VMs of this zone that a heartbeat is due to.
+
+        One exchange informs both sides, so a VM that was heard from within the
+        last half interval gets none. A VM silent for long is asked less often.
+        """
+        near = [m for m in self.members.values() if m.zone == self.zone and m.address]
+        return [m for m in near if self.is_due(m, now)]
+
+    def is_due(self, member, now):
+        """Whether a heartbeat to a VM of this zone is due."""
+        half = self.settings.heartbeat_ms / 2000
+        if member.heard_at is not None and now - member.heard_at < half:
+            return False
+        silent = member.silent_for(now) > self.settings.forget_ms / 1000
+        if not silent or member.tried_at is None:
+            return True
+        return now - member.tried_at >= self.settings.far_heartbeat_ms / 1000
+
+    def far_targets(self, now: float) -> list[Member]:
+        """Return one VM of each other zone, in turn."""
+        zones: dict[str, list[Member]] = {}
+        for member in self.members.values():
+            if member.zone != self.zone and member.address:
+                zones.setdefault(member.zone, []).append(member)
+        return [self.in_turn(zone, found, now) for zone, found in zones.items()]
+
+    def in_turn(self, zone, members, now):
+        """Return the member of another zone whose turn it is.
+
+        The one tried longest ago is next; silent ones get every fourth turn, so
+        that dead VMs do not delay news from the live ones.
+        """
+        turn = self.turns[zone] = self.turns.get(zone, 0) + 1
+        forget = self.settings.forget_ms / 1000
+        silent = [m for m in members if m.silent_for(now) > forget]
+        heard = [m for m in members if m.silent_for(now) <= forget]
+        preferred = silent if turn % SILENT_TURN == 0 else heard
+        return min(preferred or members, key=lambda m: (m.tried_at or 0.0, m.name))
+
+    def peers_seen(self, now: float) -> PeersSeen:
+        """Return what dispatch needs to know of the other VMs."""
+        far = self.far_zones(now)
+        zone_vms = 1 + len(self.zone_peers(now))
+        sources = self.zone_peers(now) + [m for m, _ in far.values()]
+        all_vms = zone_vms + sum(count for _, count in far.values())
+        return PeersSeen(zone_vms, all_vms, sum_loads(m.loads for m in sources))
+
+    def far_zones(self, now):
+        """Return for each other zone heard from its newest teller and VM count.
+
+        A VM hears each VM of another zone too seldom to count them; the zone's own
+        count and sum of loads come with each heartbeat from it.
+        """
+        zones = {}
+        for zone in {m.zone for m in self.members.values()} - {self.zone}:
+            live = [m for m in self.live_peers(now) if m.zone == zone]
+            if live:
+                teller = max(live, key=lambda m: m.loads_at)
+                newest = max(live, key=lambda m: m.heard_at)
+                zones[zone] = (teller, 1 + newest.status.zone_peers)
+        return zones
+
+    def zone_loads(self, own: tuple[PeerLoad, ...], now: float):
+        """Return the loads of this zone: `own` and those of its live VMs."""
+        return sum_loads([own, *(m.loads for m in self.zone_peers(now))])
+
+    @property
+    def upstreams_leaving(self) -> frozenset[str]:
+        """Upstreams that the list marks as leaving."""
+        return frozenset(self.marked_leaving)
+
+
+def sum_loads(loads) -> tuple[PeerLoad, ...]:
+    """Add up loads by team.
+
+    Examples
+    ========
+
+    >>> sum_loads([(PeerLoad("club", 1, 0),), (PeerLoad("club", 2, 5),)])
+    (PeerLoad(team='club', running=3, waiting=5),)
+    """
+    totals: dict[str, tuple[int, int]] = {}
+    for load in (load for group in loads for load in group):
+        running, waiting = totals.get(load.team, (0, 0))
+        totals[load.team] = (running + load.running, waiting + load.waiting)
+    return tuple(PeerLoad(team, *totals[team]) for team in sorted(totals))
+
+
+@functools.singledispatch
+def on_event(event, view: MembershipView, now: float, changes: list):
+    """Take one event."""
+    raise TypeError(f"unknown event {event!r}")
+
+
+@on_event.register
+def _(event: StatusHeard, view, now, changes):
+    status = event.status
+    if status.vm == view.vm:
+        return
+    member = view.member(status.vm, status.zone, now)
+    if member is None:
+        return
+    member.heard_at = now
+    member.zone = status.zone
+    member.own_address = status.address or member.own_address
+    member.status = newest_status(member.status, status)
+    if status.loads is not None:
+        member.loads = status.loads
+        member.loads_at = now
+    if not member.was_live:
+        member.was_live = True
+        changes.append(Appeared(member.name))
+
+
+def newest_status(present, status):
+    """Return the status to keep; one process's number never falls.
+
+    Replies may overtake each other, so that an older one arrives last.
+    """
+    if present is None or present.incarnation != status.incarnation:
+        return status
+    if status.number >= present.number:
+        return status
+    return dataclasses.replace(status, number=present.number, digest=present.digest)
+
+
+@on_event.register
+def _(event: ListSeen, view, now, changes):
+    if not event.entries:
+        return
+    marked = set()
+    for entry in event.entries:
+        if entry.name in event.upstreams:
+            if entry.leaving:
+                marked.add(entry.name)
+            continue
+        if entry.name == view.vm:
+            continue
+        member = view.member(entry.name, entry.availability_zone, now)
+        if member is not None:
+            member.list_address = (entry.host, entry.peer_port)
+            member.list_leaving = entry.leaving
+    note_absent(view, {entry.name for entry in event.entries})
+    note_leaving(view, marked, event.upstreams, now)
+
+
+def note_absent(view, named):
+    """Drop the list's address of VMs that the list no longer names."""
+    for member in view.members.values():
+        if member.name not in named:
+            member.own_address = member.own_address or member.list_address
+            member.list_address = None
+
+
+def note_leaving(view, marked, upstreams, now):
+    """Keep a mark until the list has left it out for `forget_ms`.
+
+    The list may lag: an older copy must not take a mark back.
+    """
+    for name in marked:
+        view.marked_leaving[name] = now
+    for name, seen_at in list(view.marked_leaving.items()):
+        expired = now - seen_at >= view.settings.forget_ms / 1000
+        if name not in upstreams or expired:
+            del view.marked_leaving[name]
+
+
+@on_event.register
+def _(event: Tick, view, now, changes):
+    for member in list(view.members.values()):
+        if member.was_live and not view.is_live(member, now):
+            member.was_live = False
+            changes.append(WentSilent(member.name))
+        if is_forgotten(view, member, now):
+            del view.members[member.name]
+            changes.append(Forgotten(member.name, member.address))
+
+
+def is_forgotten(view, member, now):
+    """Whether nothing but an old heartbeat speaks for the VM."""
+    if member.settings_address or member.list_address:
+        return False
+    return member.silent_for(now) >= view.settings.forget_ms / 1000
--- a/packages/core/carobramp_core/outcomes.py
+++ b/packages/core/carobramp_core/outcomes.py
@@ -36,6 +36,7 @@
     TICKET_NUMBER_TAKEN = "ticket_number_taken"
     TICKET_NUMBER_GAP = "ticket_number_gap"
     TICKET_OUT_OF_DATE = "ticket_out_of_date"
+    TICKET_UNKNOWN = "ticket_unknown"
     PLATFORM_UNAVAILABLE = "platform_unavailable"
     ACCEPTANCE_UNKNOWN = "acceptance_unknown"
 
--- a/packages/core/carobramp_core/tickets/__init__.py
+++ b/packages/core/carobramp_core/tickets/__init__.py
@@ -1,1 +1,1 @@
-"""Tickets decisions."""
+"""Change tickets: acceptance, spreading and the deployment state."""
--- /dev/null
+++ b/packages/core/carobramp_core/tickets/rows.py
@@ -0,0 +1,72 @@
+"""Rows and objects that hold tickets and state on the platform."""
+
+from carobramp_core.platform import Condition, Row, Transaction
+from carobramp_schema import InvalidInput, decode
+from carobramp_schema.generated.ticket import HeadRow, TicketRecord
+
+HEAD_KEY = "head"
+TICKET_PREFIX = "ticket/"
+SNAPSHOT_KEY = "state/newest"
+NUMBER_DIGITS = 12
+MAX_NUMBER = 10**NUMBER_DIGITS - 1
+
+
+def ticket_key(number: int) -> str:
+    """Return the key of a ticket row; keys sort by number.
+
+    Examples
+    ========
+
+    >>> ticket_key(7)
+    'ticket/000000000007'
+    """
+    return f"{TICKET_PREFIX}{number:0{NUMBER_DIGITS}d}"
+
+
+def present_rows(number: int) -> Transaction:
+    """Return a transaction that only reads the head row and ticket `number`.
+
+    Explanation
+    ===========
+
+    Reads of the table may be stale, but a transaction is decided on the present
+    rows. This one writes nothing: it commits when both rows are absent, and its
+    conflict otherwise carries the rows that exist.
+    """
+    keys = (HEAD_KEY, ticket_key(number))
+    return Transaction(tuple(Condition(key, 0) for key in keys), ())
+
+
+def find_row(rows: tuple[Row, ...], key: str) -> Row | None:
+    """Return the row with `key`, or None."""
+    return next((row for row in rows if row.key == key), None)
+
+
+def read_head(rows: tuple[Row, ...]) -> HeadRow | InvalidInput:
+    """Return the head among `rows`; number 0 when there is no head row."""
+    row = find_row(rows, HEAD_KEY)
+    return HeadRow(0, "") if row is None else decode(row.value, HeadRow)
+
+
+def read_record(rows: tuple[Row, ...], number: int) -> TicketRecord | None:
+    """Return the record of ticket `number` among `rows`, or None."""
+    row = find_row(rows, ticket_key(number))
+    if row is None:
+        return None
+    record = decode(row.value, TicketRecord)
+    if isinstance(record, InvalidInput) or record.ticket.number != number:
+        return None
+    return record
+
+
+__all__ = [
+    "HEAD_KEY",
+    "MAX_NUMBER",
+    "SNAPSHOT_KEY",
+    "TICKET_PREFIX",
+    "find_row",
+    "present_rows",
+    "read_head",
+    "read_record",
+    "ticket_key",
+]
--- a/packages/core/carobramp_core/tickets/state.py
+++ b/packages/core/carobramp_core/tickets/state.py
@@ -1,19 +1,29 @@
 """Immutable deployment state, as set by the accepted tickets."""
 
 import dataclasses
+import functools
 import hashlib
 from collections.abc import Mapping
 from typing import Any
 
-from carobramp_schema import canonical
+from carobramp_schema import InvalidInput, canonical, decode
 from carobramp_schema.generated.ticket import (
+    ServiceObject,
     ServiceState,
+    StateDocument,
+    TeamObject,
     TeamState,
     Ticket,
+    UpstreamObject,
     UpstreamState,
 )
 
 KINDS = ("services", "upstreams", "teams")
+OBJECTS = {
+    "services": ServiceObject,
+    "upstreams": UpstreamObject,
+    "teams": TeamObject,
+}
 
 
 @dataclasses.dataclass(frozen=True)
@@ -72,7 +82,11 @@
         return DeploymentState(number=ticket.number, **changed)
 
     def digest(self) -> str:
-        """Return the digest of the whole state, hexadecimal."""
+        """Return the digest of the whole state, hexadecimal; computed once."""
+        return self._digest
+
+    @functools.cached_property
+    def _digest(self):
         total = hashlib.sha256(str(self.number).encode())
         for kind in KINDS:
             objects = getattr(self, kind)
@@ -81,6 +95,36 @@
         return total.hexdigest()
 
 
+def encode_state(state: DeploymentState) -> bytes:
+    """Return the whole state as a canonical JSON document."""
+    lists = {
+        kind: [
+            OBJECTS[kind](name, versioned.number, versioned.state)
+            for name, versioned in sorted(getattr(state, kind).items())
+        ]
+        for kind in KINDS
+    }
+    return canonical(StateDocument(number=state.number, **lists))
+
+
+def decode_state(data: bytes, digest: str) -> DeploymentState | InvalidInput:
+    """Return the state of a document, if its digest is `digest`."""
+    document = decode(data, StateDocument)
+    if isinstance(document, InvalidInput):
+        return document
+    objects = {
+        kind: {
+            entry.name: Versioned.of(kind, entry.name, entry.number, entry.state)
+            for entry in getattr(document, kind)
+        }
+        for kind in KINDS
+    }
+    state = DeploymentState(document.number, **objects)
+    if state.digest() != digest:
+        return InvalidInput("$", f"a state with digest {digest}", state.digest())
+    return state
+
+
 def content_digest(ticket: Ticket) -> str:
     """Return the digest of a ticket's content, hexadecimal."""
     return hashlib.sha256(canonical(ticket)).hexdigest()
--- a/packages/daemon/carobramp_daemon/api.py
+++ b/packages/daemon/carobramp_daemon/api.py
@@ -136,9 +136,9 @@
             "vm": self.settings.vm.name,
             "availability_zone": self.settings.vm.availability_zone,
             "ready": self.tickets.ready and not self.draining,
-            "state_number": self.tickets.in_force.number,
             "jobs": len(self.submissions.records),
         }
+        body |= self.tickets.status()
         return web.Response(body=encode(body), content_type=JSON)
 
     async def show_metrics(self, request):
--- a/packages/daemon/carobramp_daemon/daemon.py
+++ b/packages/daemon/carobramp_daemon/daemon.py
@@ -1,6 +1,7 @@
 """The daemon of an entry VM: starts the services and stops them gracefully."""
 
 import asyncio
+import random
 import secrets
 import signal
 
@@ -47,26 +48,47 @@
             settings, self.handlers, self.metrics, self.new_log("peer")
         )
         self.peers = PeerClients(settings, self.metrics, self.new_log("peer"))
+        self.control = PeerClients(settings, self.metrics, self.new_log("peer"))
+        self.dispatch = DispatchService(
+            settings.dispatch, self.upstreams, self.job_finished, self.metrics
+        )
         self.membership = MembershipService(
             settings,
             self.platform,
-            self.peers,
+            self.control,
+            self.dispatch,
+            self.incarnation,
+            random.Random(),
             self.metrics,
             self.new_log("membership"),
         )
-        self.dispatch = DispatchService(
-            settings.dispatch, self.upstreams, self.job_finished, self.metrics
-        )
         self.submissions = SubmissionService(
             settings, issuer, self.dispatch, self.metrics, self.new_log("submission")
         )
         self.tickets = TicketService(
-            settings, self.platform, self.dispatch, self.metrics, self.new_log("ticket")
+            settings,
+            self.platform,
+            self.membership,
+            self.control,
+            self.dispatch,
+            random.Random(),
+            self.metrics,
+            self.new_log("ticket"),
         )
+        self.connect_control()
         self.api = CallerApi(
             settings, self.submissions, self.tickets, self.metrics, self.new_log("api")
         )
 
+    def connect_control(self):
+        """Connect tickets, membership and the calls from peers."""
+        self.membership.tickets = self.tickets
+        self.membership.peer_port = lambda: self.peer_api.port
+        self.handlers.heartbeat = self.membership.on_heartbeat
+        self.handlers.fetch_tickets = self.tickets.on_fetch_tickets
+        self.handlers.fetch_state = self.tickets.on_fetch_state
+        self.handlers.notify_ticket = self.tickets.on_notify
+
     def job_finished(self, event):
         """Hand the outcome of a job to its submission."""
         self.submissions.finished(event)
@@ -81,6 +103,7 @@
             self.platform,
             self.upstreams,
             self.peers,
+            self.control,
             self.dispatch,
             self.submissions,
             self.membership,
@@ -92,6 +115,7 @@
     async def drain(self):
         """Take no new jobs and wait for those under way."""
         self.api.draining = True
+        self.membership.leaving = True
         self.log_line.info("draining")
         await asyncio.sleep(self.settings.drain.drain_notice_ms / 1000)
         self.api.accepting = False
--- /dev/null
+++ b/packages/daemon/carobramp_daemon/heartbeats.py
@@ -0,0 +1,114 @@
+"""Converts heartbeats between messages and the membership view."""
+
+import ipaddress
+import re
+
+from carobramp_core.dispatch.messages import PeerLoad
+from carobramp_core.membership.view import PeerStatus
+from carobramp_core.tickets.rows import MAX_NUMBER
+from carobramp_schema import InvalidInput
+
+NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
+DIGEST = re.compile(r"([0-9a-f]{64})?")
+INCARNATION = re.compile(r"[0-9a-f]{1,32}")
+MAX_ZONE_CHARS = 64
+MAX_PORT = 65535
+MAX_LOAD_NUMBERS = 3 * 1024
+LOAD_FIELDS = 3
+
+
+def pack_loads(loads, teams) -> list[int]:
+    """Return loads as numbers: team index, running, waiting.
+
+    `teams` are the names of the teams of the state in force in ascending order;
+    both sides have the same ones when the state digests are the same. This keeps a
+    heartbeat with 110 teams near 500 bytes, a quarter of its size with names.
+
+    Examples
+    ========
+
+    >>> pack_loads((PeerLoad("club", 2, 300),), ("bakery", "club"))
+    [1, 2, 300]
+    """
+    index = {team: position for position, team in enumerate(teams)}
+    numbers = []
+    for load in loads:
+        if load.team in index and (load.running or load.waiting):
+            numbers += [index[load.team], load.running, load.waiting]
+    return numbers
+
+
+def unpack_loads(numbers, teams) -> tuple[PeerLoad, ...]:
+    """Return the loads that `pack_loads` packed; unknown indexes are left out.
+
+    Examples
+    ========
+
+    >>> unpack_loads([1, 2, 300, 9, 1, 1], ("bakery", "club"))
+    (PeerLoad(team='club', running=2, waiting=300),)
+    """
+    triples = zip(*[iter(numbers)] * LOAD_FIELDS, strict=False)
+    return tuple(
+        PeerLoad(teams[index], running, waiting)
+        for index, running, waiting in triples
+        if index < len(teams)
+    )
+
+
+def read_status(message, digest, teams) -> PeerStatus | InvalidInput:
+    """Check a heartbeat and return its status.
+
+    Loads are taken only from a VM with the same state, as their team indexes mean
+    something else otherwise.
+    """
+    fault = check_status(message)
+    if fault is not None:
+        return fault
+    loads = None
+    if message.with_loads and message.state_digest == digest:
+        loads = unpack_loads(message.team_loads, teams)
+    return PeerStatus(
+        vm=message.vm,
+        zone=message.availability_zone,
+        incarnation=message.incarnation,
+        address=read_address(message),
+        leaving=message.leaving,
+        number=message.state_number,
+        digest=message.state_digest,
+        heard=message.heard_number,
+        loads=loads,
+        zone_peers=message.live_peers,
+    )
+
+
+def check_status(message) -> InvalidInput | None:
+    """Return the first fault of a heartbeat, or None."""
+    if not NAME.fullmatch(message.vm):
+        return InvalidInput("vm", "a VM name", message.vm[:MAX_ZONE_CHARS])
+    if not 1 <= len(message.availability_zone) <= MAX_ZONE_CHARS:
+        zone = message.availability_zone[:MAX_ZONE_CHARS]
+        return InvalidInput("availability_zone", "1 to 64 characters", zone)
+    if not INCARNATION.fullmatch(message.incarnation):
+        seen = message.incarnation[:MAX_ZONE_CHARS]
+        return InvalidInput("incarnation", "an incarnation", seen)
+    if not DIGEST.fullmatch(message.state_digest):
+        seen = message.state_digest[:MAX_ZONE_CHARS]
+        return InvalidInput("state_digest", "a digest", seen)
+    highest = max(message.state_number, message.heard_number)
+    if highest > MAX_NUMBER:
+        return InvalidInput("heard_number", f"at most {MAX_NUMBER}", str(highest))
+    if len(message.team_loads) > MAX_LOAD_NUMBERS:
+        count = str(len(message.team_loads))
+        return InvalidInput("team_loads", f"at most {MAX_LOAD_NUMBERS}", count)
+    return None
+
+
+def read_address(message):
+    """Return the address that the sender states, or None when it is of no use."""
+    try:
+        host = ipaddress.ip_address(message.host)
+    except ValueError:
+        return None
+    if host.is_unspecified or not 0 < message.peer_port <= MAX_PORT:
+        return None
+    return str(host), message.peer_port
--- a/packages/daemon/carobramp_daemon/membership.py
+++ b/packages/daemon/carobramp_daemon/membership.py
@@ -1,24 +1,317 @@
 """Service that knows the other entry VMs."""
 
+import asyncio
+import functools
+import random
+import time
+from typing import Any
+
 from mode import Service
 
+from carobramp_core.dispatch.messages import PeerLoad, UpstreamsLeaving
+from carobramp_core.membership.view import (
+    Appeared,
+    Forgotten,
+    ListSeen,
+    Member,
+    MembershipView,
+    PeerStatus,
+    StatusHeard,
+    Tick,
+    WentSilent,
+)
+from carobramp_core.platform import Unavailable
+from carobramp_daemon.heartbeats import pack_loads, read_status
+from carobramp_daemon.peers import PeerUnreachable
+from carobramp_schema import InvalidInput
+from carobramp_schema.generated import peer_pb2
 from carobramp_schema.generated.settings import Settings
 
+JITTER = 0.1
+"""Variation of timers, so that VMs started together do not stay in step."""
+
+LOADS_EVERY_S = 4.0
+"""Loads of 110 teams take about 500 bytes; with every heartbeat within a zone of
+8 VMs they would use 7 KB/s of the 11 KB/s for control."""
+
+LIST_BYTES_PER_S = 2000
+"""Reads of a long list are spaced so that they stay within this rate."""
+
+LIST_ENTRY_BYTES = 130
+LIST_POLL_MAX_S = 60.0
+ASK_AT_ONCE = 16
+MAX_LIST_ENTRIES = 8192
+
 
 class MembershipService(Service):
-    """Addresses and liveness of the other entry VMs."""
+    """Addresses and liveness of the other entry VMs.
+
+    Parameters
+    ==========
 
-    def __init__(self, settings: Settings, platform, peers, metrics, log):
+    settings : settings of the daemon
+    platform : client of the platform, for the list
+    control : clients for control calls to peers; not shared with forwarded jobs,
+        since a silent peer's channel is closed
+    dispatch : service that gets `PeersSeen` and `UpstreamsLeaving`
+    incarnation : incarnation of this process
+    rng : source of jitter
+    metrics, log : metrics and log of the daemon
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        platform,
+        control,
+        dispatch,
+        incarnation,
+        rng: random.Random,
+        metrics,
+        log,
+    ):
         super().__init__()
         self.settings = settings
+        self.timing = settings.membership
         self.platform = platform
-        self.peers = peers
+        self.control = control
+        self.dispatch = dispatch
+        self.incarnation = incarnation
         self.metrics = metrics
         self.log_line = log
+        self.rng = rng
+        self.view = MembershipView(
+            settings.vm.name,
+            settings.vm.availability_zone,
+            self.timing,
+            settings.peers,
+            time.monotonic(),
+        )
+        self.leaving = False
+        self.tickets: Any = None
+        self.team_loads = list
+        self.peer_port = lambda: settings.vm.peer_port
+        self.loads_sent: dict[str, float] = {}
+        self.under_way: set[str] = set()
+        self.last_seen = None
+        self.last_leaving: frozenset[str] = frozenset()
 
     def address_of(self, vm):
         """Return the (host, port) for calls to a VM, or None when unknown."""
-        for peer in self.settings.peers:
-            if peer.name == vm:
-                return peer.host, peer.peer_port
-        return None
+        return self.view.address_of(vm)
+
+    def live_peers(self, now):
+        """Return the live VMs, without this one."""
+        return self.view.live_peers(now)
+
+    @Service.task
+    async def send_near(self):
+        """Exchange heartbeats within the availability zone."""
+        while not self.should_stop:
+            self.send_to(self.view.near_targets(time.monotonic()))
+            self.look_around()
+            await self.pause(self.timing.heartbeat_ms / 1000)
+
+    @Service.task
+    async def send_far(self):
+        """Exchange heartbeats with one VM of each other availability zone."""
+        while not self.should_stop:
+            self.send_to(self.view.far_targets(time.monotonic()))
+            await self.pause(self.far_interval())
+
+    def far_interval(self):
+        """Return the time to the next far heartbeats; short until one was answered."""
+        live = self.view.live_peers(time.monotonic())
+        heard = any(member.zone != self.view.zone for member in live)
+        ms = self.timing.far_heartbeat_ms if heard else self.timing.heartbeat_ms
+        return ms / 1000
+
+    @Service.task
+    async def read_list(self):
+        """Read the platform's list at intervals."""
+        while not self.should_stop:
+            entries = await self.platform.list_vms("members")
+            usable = not isinstance(entries, Unavailable)
+            if usable and len(entries) <= MAX_LIST_ENTRIES:
+                upstreams = frozenset(self.tickets.in_force.upstreams)
+                self.take(ListSeen(entries, upstreams))
+            size = LIST_ENTRY_BYTES * len(entries) if usable else 0
+            await self.pause(list_pause(self.timing.list_poll_ms / 1000, size))
+
+    async def pause(self, seconds):
+        """Wait for about `seconds`."""
+        await self.sleep(seconds * self.rng.uniform(1 - JITTER, 1 + JITTER))
+
+    def send_to(self, members):
+        """Send heartbeats, without waiting for VMs that do not answer."""
+        for member in members:
+            if member.name not in self.under_way:
+                self.under_way.add(member.name)
+                self.add_future(self.exchange_once(member))
+
+    async def exchange_once(self, member):
+        """Send a heartbeat while no other one to the VM is under way."""
+        try:
+            await self.exchange(member)
+        finally:
+            self.under_way.discard(member.name)
+
+    async def exchange(self, member: Member) -> PeerStatus | None:
+        """Send one heartbeat; return the status in the answer, or None."""
+        now = time.monotonic()
+        member.tried_at = now
+        address = member.address
+        if address is None:
+            return None
+        reply = await self.control.call(
+            address,
+            "Heartbeat",
+            self.own_status(member.name, member.zone, now),
+            self.timing.call_timeout_ms / 1000,
+        )
+        if isinstance(reply, PeerUnreachable):
+            self.drop_channel(member, address)
+            return None
+        return self.hear(reply)
+
+    def drop_channel(self, member, address):
+        """Close the channel to a VM that is no longer live.
+
+        A connection that lost packets in a partition would wait for minutes until
+        TCP sends again; a new one works as soon as the partition ends.
+        """
+        if not self.view.is_live(member, time.monotonic()):
+            self.control.forget(address)
+
+    async def ask_all(self) -> dict[str, PeerStatus | None]:
+        """Ask every candidate for its status; None for those that do not answer."""
+        slots = asyncio.Semaphore(ASK_AT_ONCE)
+
+        async def ask(member):
+            async with slots:
+                return await self.exchange(member)
+
+        members = list(self.view.members.values())
+        statuses = await asyncio.gather(*(ask(member) for member in members))
+        return {m.name: s for m, s in zip(members, statuses, strict=True)}
+
+    async def notify(self, number):
+        """Tell live VMs of a new ticket number, once."""
+        request = peer_pb2.NotifyTicketRequest(vm=self.view.vm, number=number)
+        timeout = self.timing.call_timeout_ms / 1000
+        targets = self.view.notify_targets(time.monotonic())
+        calls = (
+            self.control.call(member.address, "NotifyTicket", request, timeout)
+            for member in targets
+        )
+        await asyncio.gather(*calls)
+
+    async def on_heartbeat(self, message):
+        """Answer the heartbeat of another VM."""
+        self.hear(message)
+        now = time.monotonic()
+        return self.own_status(message.vm, message.availability_zone, now)
+
+    def hear(self, message) -> PeerStatus | None:
+        """Take the status of another VM, if it is valid."""
+        state = self.tickets.in_force
+        status = read_status(message, self.tickets.digest, tuple(sorted(state.teams)))
+        if isinstance(status, InvalidInput):
+            self.log_line.info("heartbeat dropped", detail=str(status))
+            return None
+        self.take(StatusHeard(status))
+        if status.vm != self.view.vm:
+            self.tickets.peer_seen(status, near=status.zone == self.view.zone)
+        return status
+
+    def own_status(self, vm, zone, now):
+        """Return the heartbeat of this VM for another one."""
+        me = self.settings.vm
+        state = self.tickets.in_force
+        status = peer_pb2.PeerStatus(
+            vm=me.name,
+            availability_zone=me.availability_zone,
+            incarnation=self.incarnation,
+            host=me.host,
+            peer_port=self.peer_port(),
+            leaving=self.leaving,
+            state_number=state.number,
+            state_digest=self.tickets.digest,
+            heard_number=self.tickets.heard_number,
+            live_peers=len(self.view.zone_peers(now)),
+        )
+        if self.loads_due(vm, zone, now):
+            status.with_loads = True
+            loads = self.loads_for(zone, now)
+            status.team_loads.extend(pack_loads(loads, sorted(state.teams)))
+        return status
+
+    def loads_due(self, vm, zone, now):
+        """Whether a heartbeat to a VM carries the loads; if so, it is noted."""
+        near = zone == self.view.zone
+        if near and now - self.loads_sent.get(vm, -LOADS_EVERY_S) < LOADS_EVERY_S:
+            return False
+        if vm in self.view.members:
+            self.loads_sent[vm] = now
+        return True
+
+    def loads_for(self, zone, now):
+        """Return own loads for this zone, those of the whole zone for another."""
+        own = tuple(PeerLoad(*load) for load in self.team_loads())
+        return own if zone == self.view.zone else self.view.zone_loads(own, now)
+
+    def take(self, event):
+        """Give an event to the view and log what changed."""
+        for change in self.view.handle(event, time.monotonic()):
+            report_change(change, self)
+
+    def look_around(self):
+        """Tell dispatch what changed since the last time."""
+        self.take(Tick())
+        now = time.monotonic()
+        self.metrics.set("live_peers", len(self.view.live_peers(now)))
+        seen = self.view.peers_seen(now)
+        if seen != self.last_seen:
+            self.last_seen = seen
+            self.dispatch.send(seen)
+        leaving = self.view.upstreams_leaving
+        if leaving != self.last_leaving:
+            self.last_leaving = leaving
+            self.dispatch.send(UpstreamsLeaving(leaving))
+
+
+def list_pause(poll, size):
+    """Return the time until the next read of the list, in seconds.
+
+    Examples
+    ========
+
+    >>> list_pause(5.0, 8 * 130), list_pause(5.0, 120 * 130)
+    (5.0, 7.8)
+    """
+    return min(max(poll, size / LIST_BYTES_PER_S), max(poll, LIST_POLL_MAX_S))
+
+
+@functools.singledispatch
+def report_change(change, service):
+    """Log a change of the view."""
+    raise TypeError(f"unknown change {change!r}")
+
+
+@report_change.register
+def _(change: Appeared, service):
+    service.log_line.info("peer is live", peer=change.vm)
+
+
+@report_change.register
+def _(change: WentSilent, service):
+    service.log_line.info("peer is silent", peer=change.vm)
+
+
+@report_change.register
+def _(change: Forgotten, service):
+    service.log_line.info("peer is forgotten", peer=change.vm)
+    service.loads_sent.pop(change.vm, None)
+    service.tickets.peer_forgotten(change.vm)
+    if change.address is not None:
+        service.control.forget(change.address)
--- a/packages/daemon/carobramp_daemon/peers.py
+++ b/packages/daemon/carobramp_daemon/peers.py
@@ -165,12 +165,22 @@
         self.count(call, request, reply)
         return reply
 
-    async def stream(self, address, call, request, timeout):
-        """Send a call with streamed replies; return them or `PeerUnreachable`."""
+    async def stream(self, address, call, request, timeout, max_bytes):
+        """Send a call with streamed replies; return them or `PeerUnreachable`.
+
+        Replies over `max_bytes` together are given up.
+        """
         method = getattr(self.stub(address), call)
+        replies, size = [], 0
         try:
-            async with asyncio.timeout(timeout):
-                replies = await method(request)
+            async with asyncio.timeout(timeout), method.open() as stream:
+                await stream.send_message(request, end=True)
+                async for reply in stream:
+                    size += reply.ByteSize()
+                    if size > max_bytes:
+                        detail = f"replies over {max_bytes} bytes"
+                        return PeerUnreachable(detail, maybe_received=True)
+                    replies.append(reply)
         except (
             OSError,
             TimeoutError,
--- /dev/null
+++ b/packages/daemon/carobramp_daemon/ticket_accept.py
@@ -0,0 +1,133 @@
+"""Carries a change ticket through its acceptance on the platform."""
+
+import asyncio
+import time
+
+from carobramp_core.platform import Conflict, Unavailable
+from carobramp_core.tickets.acceptance import (
+    AcceptanceUnknown,
+    Checked,
+    NotAccepted,
+    NumberGap,
+    ReadBack,
+    interpret,
+    judge,
+    judge_record,
+    prepare,
+)
+from carobramp_core.tickets.checks import check
+from carobramp_core.tickets.rows import (
+    HEAD_KEY,
+    find_row,
+    present_rows,
+    read_head,
+    ticket_key,
+)
+from carobramp_schema import InvalidInput
+
+ATTEMPTS = 4
+"""Transactions sent for one ticket before its acceptance is reported as unknown."""
+
+ATTEMPT_PAUSE_S = 0.1
+CATCH_UP_S = 3.0
+PURPOSE = "accept"
+
+
+class Acceptor:
+    """Accepts tickets for the operators of one VM.
+
+    Parameters
+    ==========
+
+    platform : client of the platform
+    tickets : `TicketService` that holds the state in force
+    """
+
+    def __init__(self, platform, tickets):
+        self.platform = platform
+        self.tickets = tickets
+
+    async def accept(self, ticket, only_check=False):
+        """Return the verdict on a ticket."""
+        record = self.tickets.kept_record(ticket.number)
+        if record is not None:
+            return judge_record(ticket, record)
+        rows = await self.rows_for(ticket)
+        if isinstance(rows, NotAccepted):
+            return rows
+        verdict = judge(ticket, rows)
+        if verdict is not None:
+            return verdict
+        head = read_head(rows)
+        if isinstance(head, InvalidInput):
+            return NotAccepted(f"the head row is not valid: {head}")
+        if ticket.number != head.number + 1:
+            return NumberGap(head.number + 1)
+        state = await self.state_at(head.number)
+        if state is None:
+            return NotAccepted(f"the state at number {head.number} is not at hand")
+        fault = check(ticket, state)
+        if fault is not None:
+            return fault
+        if only_check:
+            return Checked()
+        row = find_row(rows, HEAD_KEY)
+        version = row.version if row else 0
+        return await self.commit(prepare(ticket, state, version, time.time()))
+
+    async def rows_for(self, ticket):
+        """Return the head row and the ticket's row, as present as is needed.
+
+        A plain read is enough when it has the ticket's row, which never changes, or
+        makes the ticket the next one, which the transaction checks again. Otherwise
+        the read may be stale and is repeated as a transaction.
+        """
+        keys = (HEAD_KEY, ticket_key(ticket.number))
+        rows = await self.platform.read(keys, PURPOSE)
+        if isinstance(rows, Unavailable):
+            return NotAccepted(rows.detail)
+        head = read_head(rows)
+        is_next = (
+            not isinstance(head, InvalidInput) and head.number + 1 == ticket.number
+        )
+        if is_next or find_row(rows, keys[1]):
+            return rows
+        outcome = await self.platform.transact(present_rows(ticket.number), PURPOSE)
+        if isinstance(outcome, Unavailable):
+            return NotAccepted(outcome.detail)
+        return outcome.rows if isinstance(outcome, Conflict) else ()
+
+    async def state_at(self, number):
+        """Return the state at `number`, or None when it is not in force here."""
+        await self.tickets.wait_for_number(number, CATCH_UP_S)
+        state = self.tickets.in_force
+        return state if state.number == number else None
+
+    async def commit(self, prepared):
+        """Send the transaction until its outcome is known, or give up.
+
+        Sending it again is safe: its conditions let it take effect once at most.
+        """
+        detail = ""
+        maybe_sent = False
+        for attempt in range(ATTEMPTS):
+            if attempt:
+                await asyncio.sleep(ATTEMPT_PAUSE_S * attempt)
+            outcome = await self.platform.transact(prepared.transaction, PURPOSE)
+            verdict = interpret(outcome, prepared)
+            if isinstance(verdict, ReadBack):
+                maybe_sent = True
+                verdict = await self.read_back(prepared.record.ticket)
+            if verdict is None or isinstance(verdict, NotAccepted):
+                detail = getattr(outcome, "detail", "the head row changed")
+                continue
+            return verdict
+        return AcceptanceUnknown(detail) if maybe_sent else NotAccepted(detail)
+
+    async def read_back(self, ticket):
+        """Return the verdict by the ticket's row, or None when it is not there.
+
+        A missing row proves nothing, as the read may be stale and the write late.
+        """
+        rows = await self.platform.read((ticket_key(ticket.number),), PURPOSE)
+        return None if isinstance(rows, Unavailable) else judge(ticket, rows)
--- a/packages/daemon/carobramp_daemon/tickets.py
+++ b/packages/daemon/carobramp_daemon/tickets.py
@@ -1,112 +1,474 @@
 """Service that owns the deployment state in force."""
 
 import asyncio
+import collections
+import functools
+import random
 import time
 
-from aiohttp import web
 from mode import Service
 
 from carobramp_core.dispatch.messages import StateInForce
-from carobramp_core.outcomes import Reason
-from carobramp_core.platform import (
-    Committed,
-    Condition,
-    Conflict,
-    Transaction,
-    Unavailable,
-    Write,
+from carobramp_core.platform import Conflict, Unavailable
+from carobramp_core.tickets.acceptance import Accepted
+from carobramp_core.tickets.rows import (
+    HEAD_KEY,
+    MAX_NUMBER,
+    SNAPSHOT_KEY,
+    present_rows,
+    read_head,
 )
-from carobramp_core.tickets.state import DeploymentState, content_digest
-from carobramp_daemon.problems import problem, problem_response
-from carobramp_schema import InvalidInput, decode, encode
+from carobramp_core.tickets.spread import (
+    NO_STATE,
+    TABLE,
+    BadRecord,
+    CameIntoForce,
+    FetchFailed,
+    FetchState,
+    FetchTickets,
+    HeadSeen,
+    NumberHeard,
+    PeerForgotten,
+    PeerNumbers,
+    PeerSeen,
+    Spread,
+    apply_record,
+    not_ready_reason,
+)
+from carobramp_core.tickets.state import DeploymentState, encode_state
+from carobramp_daemon.ticket_accept import Acceptor
+from carobramp_daemon.ticket_routes import TicketRoutes
+from carobramp_daemon.ticket_sources import (
+    CHUNK_BYTES,
+    REPLY_BYTES,
+    SCAN_LIMIT,
+    NothingCame,
+    PeerSource,
+    TableSource,
+    snapshot_object,
+)
+from carobramp_schema import InvalidInput, encode
+from carobramp_schema.generated import peer_pb2
 from carobramp_schema.generated.settings import Settings
-from carobramp_schema.generated.ticket import HeadRow, Ticket, TicketRecord
 
-HEAD_KEY = "head"
-TICKET_PREFIX = "ticket/"
-SCAN_LIMIT = 500
+HEAD_JITTER = 0.25
+"""Variation of the head poll, which spreads the reads of VMs started together."""
 
+START_PAUSE_S = 0.3
+START_PAUSE_MAX_S = 4.0
+START_FETCH_S = 5.0
+AGE_EVERY_S = 1.0
+KEPT_BYTES = 4 << 20
+"""Memory for kept tickets; a usual ticket has a few hundred bytes."""
 
-def ticket_key(number):
-    """Return the key of a ticket row; keys sort by number."""
-    return f"{TICKET_PREFIX}{number:012d}"
+SNAPSHOT_ATTEMPTS = 3
+SNAPSHOT_PAUSE_S = 2.0
 
 
 class TicketService(Service):
-    """Accepts tickets and brings accepted ones into force in order."""
+    """Accepts tickets and brings accepted ones into force in order.
+
+    Parameters
+    ==========
+
+    settings : settings of the daemon
+    platform : client of the platform
+    membership : `MembershipService`
+    control : clients for control calls to peers
+    dispatch : service that gets `StateInForce` for each new state
+    rng : source of jitter
+    metrics, log : metrics and log of the daemon
+    """
 
-    def __init__(self, settings: Settings, platform, dispatch, metrics, log):
+    def __init__(
+        self,
+        settings: Settings,
+        platform,
+        membership,
+        control,
+        dispatch,
+        rng: random.Random,
+        metrics,
+        log,
+    ):
         super().__init__()
         self.settings = settings
         self.platform = platform
+        self.membership = membership
         self.dispatch = dispatch
+        self.rng = rng
         self.metrics = metrics
         self.log_line = log
         self.in_force = DeploymentState()
+        self.digest = ""
         self.ready = False
-        self.not_ready_reason = "no_state"
+        self.not_ready_reason = NO_STATE
+        self.stale = False
+        self.spread = Spread(settings.tickets.kept_tickets, time.monotonic())
+        self.kept = KeptRecords(settings.tickets.kept_tickets)
+        self.changed = asyncio.Event()
+        self.wanted = asyncio.Event()
+        self.table = TableSource(platform)
+        timeout = settings.membership.call_timeout_ms / 1000
+        self.peers = PeerSource(control, membership.address_of, timeout)
+        self.acceptor = Acceptor(platform, self)
+        self.routes = TicketRoutes(self)
 
     def add_routes(self, router):
         """Add the operators' routes."""
-        router.add_put("/v1/tickets/{number}", self.put_ticket)
+        self.routes.add_to(router)
+
+    @property
+    def heard_number(self):
+        """Highest ticket number that this VM has heard of."""
+        return self.spread.heard
+
+    def observe(self, event):
+        """Take an observation of a ticket number."""
+        self.spread.handle(event, time.monotonic())
+        self.wanted.set()
+
+    def peer_seen(self, status, near):
+        """Take the numbers of a peer's heartbeat."""
+        self.observe(PeerSeen(status.vm, near, status.number, status.heard))
+
+    def peer_forgotten(self, vm):
+        """Drop a peer as a source of tickets."""
+        self.observe(PeerForgotten(vm))
+
+    def kept_record(self, number):
+        """Return an accepted record that is still in memory, or None."""
+        return self.kept.get(number)
+
+    # Start
+
+    @Service.task
+    async def start_up(self):
+        """Find a state to start with; retry until there is one."""
+        pause = START_PAUSE_S
+        while not self.ready and not self.should_stop:
+            await self.try_start()
+            if not self.ready:
+                await self.sleep(pause * self.rng.uniform(0.5, 1.0))
+                pause = min(2 * pause, START_PAUSE_MAX_S)
+
+    async def try_start(self):
+        """Fetch the newest state there is and decide whether it may be served."""
+        head = await self.present_head()
+        seen, peers = None, ()
+        if head is None:
+            seen, peers = await self.best_hints()
+        await self.wait_for_number(self.heard_number, START_FETCH_S)
+        reason = not_ready_reason(self.in_force.number, head, seen, peers)
+        if reason:
+            if reason != self.not_ready_reason:
+                self.log_line.info("not ready", reason=reason, heard=self.heard_number)
+            self.not_ready_reason = reason
+            return
+        self.ready = True
+        self.log_line.info("ready", number=self.in_force.number)
+
+    async def present_head(self):
+        """Return the present head number, or None when it cannot be known."""
+        outcome = await self.platform.transact(present_rows(MAX_NUMBER), "start")
+        if isinstance(outcome, Unavailable):
+            return None
+        rows = outcome.rows if isinstance(outcome, Conflict) else ()
+        return self.take_head(rows)
+
+    async def best_hints(self):
+        """Return a head number that may be stale and what the peers state."""
+        statuses = await self.membership.ask_all()
+        answered = (status for status in statuses.values() if status is not None)
+        peers = tuple(PeerNumbers(s.number, s.heard) for s in answered)
+        return await self.poll_head(), peers
+
+    # Following
 
     @Service.task
     async def follow_head(self):
-        """Read new tickets from the table at intervals."""
+        """Read the head row at intervals."""
+        while not self.should_stop:
+            low, high = 1 - HEAD_JITTER, 1 + HEAD_JITTER
+            interval = self.settings.tickets.head_poll_ms / 1000
+            await self.sleep(interval * self.rng.uniform(low, high))
+            await self.poll_head()
+
+    async def poll_head(self):
+        """Read the head row; return its number, or None when unknown."""
+        rows = await self.platform.read((HEAD_KEY,), "head")
+        return None if isinstance(rows, Unavailable) else self.take_head(rows)
+
+    def take_head(self, rows):
+        """Observe the head row among `rows`; return its number."""
+        head = read_head(rows)
+        if isinstance(head, InvalidInput):
+            self.log_line.info("head row dropped", detail=str(head))
+            return None
+        self.observe(HeadSeen(head.number, head.state_digest))
+        return head.number
+
+    @Service.task
+    async def watch_age(self):
+        """Report the age of the state."""
         while not self.should_stop:
-            await self.catch_up()
-            await asyncio.sleep(self.settings.tickets.head_poll_ms / 1000)
+            self.report_age()
+            await self.sleep(AGE_EVERY_S)
+
+    def report_age(self):
+        """Set the age's metric and log when the state becomes stale or confirmed."""
+        age_ms = self.age_ms()
+        self.metrics.set("state_age_ms", age_ms)
+        stale = age_ms > self.settings.tickets.stale_after_ms
+        if stale != self.stale:
+            sentence = "state is stale" if stale else "state is confirmed again"
+            self.log_line.info(sentence, number=self.in_force.number, age_ms=age_ms)
+        self.stale = stale
+
+    def age_ms(self):
+        """Return the time since the state was last confirmed, in milliseconds."""
+        return round(self.spread.age(time.monotonic()) * 1000)
+
+    def status(self):
+        """Return the fields of the VM's status that concern the state."""
+        return {
+            "state_number": self.in_force.number,
+            "state_digest": self.digest,
+            "state_age_ms": self.age_ms(),
+            "state_stale": self.stale,
+            "heard_number": self.heard_number,
+            "not_ready_reason": "" if self.ready else self.not_ready_reason,
+        }
 
+    @Service.task
     async def catch_up(self):
-        """Apply every ticket that the table has after the present number."""
-        rows = await self.platform.scan(
-            TICKET_PREFIX, ticket_key(self.in_force.number), SCAN_LIMIT, "tickets"
-        )
-        if isinstance(rows, Unavailable):
+        """Fetch what is missing whenever a higher number is known."""
+        while not self.should_stop:
+            self.wanted.clear()
+            now = time.monotonic()
+            fetch = self.spread.next_fetch(now)
+            if fetch is not None:
+                await self.fetch(fetch)
+                continue
+            await wait_at_most(self.wanted, self.spread.next_wakeup(now))
+
+    async def fetch(self, fetch):
+        """Carry out one fetch and pause its source when it gave nothing."""
+        before = self.in_force
+        result = await carry_out(fetch, self)
+        if self.in_force is not before:
             return
-        for row in rows:
-            record = decode(row.value, TicketRecord)
-            if record.ticket.number == self.in_force.number + 1:
-                self.bring_into_force(record)
-        self.ready = True
+        detail = result.detail if result is not None else "nothing new"
+        invalid = result is not None and result.invalid
+        if invalid:
+            self.log_line.info(
+                "data dropped", source=fetch.source or "table", detail=detail
+            )
+        self.observe(FetchFailed(fetch.source, invalid))
+
+    async def apply_all(self, records):
+        """Apply records in order; return what is wrong with the first bad one."""
+        for record in records:
+            if record.ticket.number <= self.in_force.number:
+                continue
+            after = apply_record(self.in_force, record)
+            if isinstance(after, BadRecord):
+                return NothingCame(after.detail, invalid=True)
+            self.bring_into_force(after, record)
+            await asyncio.sleep(0)
+        return None
+
+    def bring_into_force(self, state, record=None):
+        """Make a newer state the one in force."""
+        if state.number < self.in_force.number:
+            raise ValueError(f"state {state.number} after {self.in_force.number}")
+        self.in_force = state
+        self.digest = state.digest()
+        if record is None:
+            self.kept.clear()
+        else:
+            self.kept.add(record)
+        self.metrics.set("state_number", state.number)
+        self.log_line.info("in force", number=state.number)
+        self.observe(CameIntoForce(state.number, self.digest))
+        self.dispatch.send(StateInForce(state))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def replace_state(self, state):
+        """Take a whole state unless it is older; return why not, or None."""
+        newer = state.number > self.in_force.number
+        repairs = self.spread.diverged and state.number == self.in_force.number
+        if not newer and not repairs:
+            return NothingCame(f"state {state.number} is not newer")
+        if repairs:
+            self.log_line.info("state replaced by the table's", number=state.number)
+        self.bring_into_force(state)
+        return None
+
+    async def wait_for_number(self, number, timeout):
+        """Wait until the state in force has reached `number`, or time is up."""
+        self.observe(NumberHeard(number))
+        try:
+            async with asyncio.timeout(timeout):
+                while self.in_force.number < number:
+                    await self.changed.wait()
+        except TimeoutError:
+            pass
+
+    # Acceptance
 
-    def bring_into_force(self, record):
-        """Apply one accepted ticket."""
-        self.in_force = self.in_force.apply(record.ticket)
-        self.metrics.set("state_number", self.in_force.number)
-        self.log_line.info("in force", number=self.in_force.number)
-        self.dispatch.send(StateInForce(self.in_force))
-
-    async def put_ticket(self, request):
-        """Accept a ticket by one transaction."""
-        ticket = decode(await request.read(), Ticket)
-        if isinstance(ticket, InvalidInput):
-            details = problem(Reason.TICKET_INVALID, str(ticket), invalid=ticket)
-            return problem_response(details)
-        await self.catch_up()
-        if ticket.number != self.in_force.number + 1:
-            details = problem(
-                Reason.TICKET_NUMBER_GAP,
-                f"the next number is {self.in_force.number + 1}",
+    async def accept(self, ticket, only_check):
+        """Return the verdict on an operator's ticket."""
+        verdict = await self.acceptor.accept(ticket, only_check)
+        if isinstance(verdict, Accepted):
+            await self.take_accepted(verdict.record)
+        return verdict
+
+    async def take_accepted(self, record):
+        """Bring an accepted ticket into force here and tell the peers."""
+        number = record.ticket.number
+        if number > self.in_force.number:
+            self.observe(NumberHeard(number))
+            await self.apply_all([record])
+        self.add_future(self.membership.notify(number))
+        if number % self.settings.tickets.snapshot_every == 0:
+            self.add_future(self.write_snapshot(number))
+
+    async def write_snapshot(self, number):
+        """Replace the snapshot in the object store by the state in force."""
+        state = self.in_force
+        document = await asyncio.to_thread(encode_state, state)
+        data = snapshot_object(state.number, document)
+        for attempt in range(SNAPSHOT_ATTEMPTS):
+            outcome = await self.platform.put(SNAPSHOT_KEY, data, "snapshot")
+            if not isinstance(outcome, Unavailable):
+                return
+            await self.sleep(SNAPSHOT_PAUSE_S * (attempt + 1))
+        self.log_line.info("snapshot not written", number=state.number)
+
+    # Calls from peers
+
+    async def on_fetch_tickets(self, request):
+        """Answer a peer that asks for tickets."""
+        reply = peer_pb2.FetchTicketsReply()
+        if request.after >= self.in_force.number:
+            return reply
+        records = self.kept.after(request.after, min(request.limit, SCAN_LIMIT))
+        if not records:
+            reply.too_old = True
+        size = 0
+        for record in records:
+            data = encode(record)
+            size += len(data)
+            if reply.records and size > REPLY_BYTES:
+                break
+            reply.records.append(data)
+        return reply
+
+    async def on_fetch_state(self, request):
+        """Answer a peer that asks for the whole state."""
+        state, digest = self.in_force, self.digest
+        if state.number == 0:
+            return []
+        data = await asyncio.to_thread(encode_state, state)
+        return [
+            peer_pb2.StateChunk(
+                number=state.number,
+                digest=digest,
+                data=data[start : start + CHUNK_BYTES],
             )
-            return problem_response(details)
-        after = self.in_force.apply(ticket)
-        record = TicketRecord(
-            ticket, content_digest(ticket), after.digest(), int(time.time() * 1000)
-        )
-        head = HeadRow(ticket.number, record.state_digest)
-        transaction = Transaction(
-            (Condition(HEAD_KEY, self.in_force.number),),
-            (
-                Write(ticket_key(ticket.number), encode(record)),
-                Write(HEAD_KEY, encode(head)),
-            ),
-        )
-        outcome = await self.platform.transact(transaction, "accept")
-        if isinstance(outcome, Committed):
-            await self.catch_up()
-            return web.json_response({"number": ticket.number, "accepted": True})
-        reason = Reason.TICKET_NUMBER_TAKEN
-        if not isinstance(outcome, Conflict):
-            reason = Reason.ACCEPTANCE_UNKNOWN
-        return problem_response(problem(reason, "the ticket was not accepted"))
+            for start in range(0, len(data), CHUNK_BYTES)
+        ]
+
+    async def on_notify(self, request):
+        """Take the notice of a newer ticket."""
+        member = self.membership.view.members.get(request.vm)
+        if member is not None and request.number <= MAX_NUMBER:
+            near = member.zone == self.membership.view.zone
+            event = PeerSeen(member.name, near, request.number, request.number)
+            self.observe(event)
+        return peer_pb2.NotifyTicketReply()
+
+
+class KeptRecords:
+    """Newest accepted records, consecutive, bounded by count and bytes."""
+
+    def __init__(self, most):
+        self.most = most
+        self.records: collections.deque = collections.deque()
+        self.sizes: collections.deque[int] = collections.deque()
+        self.size = 0
+
+    def add(self, record):
+        """Keep the next record and drop the oldest ones beyond the bounds."""
+        self.records.append(record)
+        self.sizes.append(len(encode(record)))
+        self.size += self.sizes[-1]
+        while len(self.records) > self.most or self.size > KEPT_BYTES:
+            self.records.popleft()
+            self.size -= self.sizes.popleft()
+
+    def clear(self):
+        """Drop all records, as those between two states are not known."""
+        self.records.clear()
+        self.sizes.clear()
+        self.size = 0
+
+    def get(self, number):
+        """Return the record of one ticket, or None."""
+        found = self.after(number - 1, 1)
+        return found[0] if found else None
+
+    def after(self, number, limit):
+        """Return up to `limit` records directly after `number`, or none of them."""
+        if not self.records:
+            return []
+        start = number + 1 - self.records[0].ticket.number
+        if start < 0:
+            return []
+        stop = min(start + limit, len(self.records))
+        return [self.records[index] for index in range(start, stop)]
+
+
+async def wait_at_most(event, until):
+    """Wait for an event until a time, or without limit when it is None."""
+    timeout = None if until is None else max(0.0, until - time.monotonic())
+    try:
+        async with asyncio.timeout(timeout):
+            await event.wait()
+    except TimeoutError:
+        pass
+
+
+@functools.singledispatch
+async def carry_out(fetch, service):
+    """Carry out a fetch; return why nothing came, or None."""
+    raise TypeError(f"unknown fetch {fetch!r}")
+
+
+@carry_out.register
+async def _(fetch: FetchTickets, service):
+    if fetch.source == TABLE:
+        records = await service.table.tickets(fetch.after)
+    else:
+        records = await service.peers.tickets(fetch.source, fetch.after, SCAN_LIMIT)
+    if records is None:
+        # The peer took a whole state itself; the table has every ticket.
+        records = await service.table.tickets(fetch.after)
+        if isinstance(records, NothingCame) or not records:
+            return await carry_out(FetchState(fetch.source), service)
+    if isinstance(records, NothingCame):
+        return records
+    return await service.apply_all(records)
+
+
+@carry_out.register
+async def _(fetch: FetchState, service):
+    if fetch.source == TABLE:
+        state = await service.table.state()
+    else:
+        state = await service.peers.state(fetch.source)
+    if isinstance(state, NothingCame):
+        return state
+    return service.replace_state(state)
