Give decoded and default numbers the same digest

A ticket that left out weight or speed_hint had the default 1, and 1.0 after its row was read back, so that its digest no longer matched and no VM would apply it. Found by the round trip of a state document in test_spread; test_digest_input_of_defaults failed before the change. Defaults of numbers are generated as floats now.

--- a/packages/core/carobramp_core/membership/view.py
+++ b/packages/core/carobramp_core/membership/view.py
@@ -217,7 +217,7 @@
         silent = [m for m in members if m.silent_for(now) > forget]
         heard = [m for m in members if m.silent_for(now) <= forget]
         preferred = silent if turn % SILENT_TURN == 0 else heard
-        return min(preferred or members, key=lambda m: (m.tried_at or 0.0, m.name))
+        return min(preferred or members, key=last_tried)
 
     def peers_seen(self, now: float) -> PeersSeen:
         """Return what dispatch needs to know of the other VMs."""
@@ -252,6 +252,11 @@
         return frozenset(self.marked_leaving)
 
 
+def last_tried(member: Member):
+    """Sort key of whose turn it is: never tried first, then tried longest ago."""
+    return (member.tried_at is not None, member.tried_at or 0.0, member.name)
+
+
 def sum_loads(loads) -> tuple[PeerLoad, ...]:
     """Add up loads by team.
 
--- /dev/null
+++ b/packages/core/carobramp_core/tickets/tests/test_acceptance.py
@@ -0,0 +1,69 @@
+"""Verdicts on tickets by the platform's answers."""
+
+import unittest
+
+from carobramp_core.platform import Committed, Conflict, Row, Unavailable
+from carobramp_core.tickets.acceptance import (
+    Accepted,
+    NotAccepted,
+    NumberTaken,
+    ReadBack,
+    interpret,
+    judge,
+    prepare,
+)
+from carobramp_core.tickets.rows import HEAD_KEY, present_rows, ticket_key
+from carobramp_core.tickets.state import DeploymentState
+from carobramp_schema import encode
+from carobramp_schema.generated.ticket import TeamChange, TeamState, Ticket
+
+
+def prepared(author="anna"):
+    """Prepare the first ticket."""
+    ticket = Ticket(1, author, teams=[TeamChange("bakery", 0, TeamState(8))])
+    return prepare(ticket, DeploymentState(), 0, 1.5)
+
+
+def row_of(accepted):
+    """Return the row that an accepted ticket leaves."""
+    return Row(ticket_key(1), encode(accepted.record), 1)
+
+
+class VerdictTests(unittest.TestCase):
+    """Each outcome of the transaction has one reading."""
+
+    def test_transaction(self):
+        """Guards against acceptance without the head's and the row's condition."""
+        transaction = prepared().transaction
+        conditions = {c.key: c.version for c in transaction.conditions}
+        self.assertEqual(conditions, {HEAD_KEY: 0, ticket_key(1): 0})
+        self.assertEqual({w.key for w in transaction.writes}, set(conditions))
+
+    def test_outcomes(self):
+        """Guards against a wrong verdict after a lost reply or a lost race."""
+        mine, other = prepared(), prepared("bob")
+        same_later = prepare(mine.record.ticket, DeploymentState(), 0, 9.0)
+        cases = [
+            (Committed(), Accepted(mine.record)),
+            (Conflict((row_of(same_later),)), Accepted(same_later.record)),
+            (Conflict((row_of(other),)), NumberTaken(1, "bob")),
+            (Conflict(()), None),
+            (Unavailable("refused", False), NotAccepted("refused")),
+            (Unavailable("time-out", True), ReadBack("time-out")),
+        ]
+        for outcome, expected in cases:
+            with self.subTest(outcome=outcome):
+                self.assertEqual(interpret(outcome, mine), expected)
+
+    def test_row_of_another_number(self):
+        """Guards against a verdict by a row that is not the ticket's."""
+        row = Row(ticket_key(2), encode(prepared().record), 1)
+        self.assertIsNone(judge(prepared().record.ticket, (row,)))
+
+    def test_present_rows_writes_nothing(self):
+        """Guards against a reading transaction with an effect."""
+        self.assertEqual(present_rows(3).writes, ())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/daemon/carobramp_daemon/daemon.py
+++ b/packages/daemon/carobramp_daemon/daemon.py
@@ -16,6 +16,7 @@
 from carobramp_daemon.peers import PeerApi, PeerClients, PeerHandlers
 from carobramp_daemon.platform import PlatformClient
 from carobramp_daemon.submission import SubmissionService
+from carobramp_daemon.ticket_calls import TicketCalls
 from carobramp_daemon.tickets import TicketService
 from carobramp_daemon.upstreams import UpstreamClient
 from carobramp_schema.generated.settings import Settings
@@ -85,9 +86,10 @@
         self.membership.tickets = self.tickets
         self.membership.peer_port = lambda: self.peer_api.port
         self.handlers.heartbeat = self.membership.on_heartbeat
-        self.handlers.fetch_tickets = self.tickets.on_fetch_tickets
-        self.handlers.fetch_state = self.tickets.on_fetch_state
-        self.handlers.notify_ticket = self.tickets.on_notify
+        calls = TicketCalls(self.tickets)
+        self.handlers.fetch_tickets = calls.on_fetch_tickets
+        self.handlers.fetch_state = calls.on_fetch_state
+        self.handlers.notify_ticket = calls.on_notify
 
     def job_finished(self, event):
         """Hand the outcome of a job to its submission."""
--- /dev/null
+++ b/packages/daemon/carobramp_daemon/tests/test_heartbeats.py
@@ -0,0 +1,80 @@
+"""Checks of heartbeats from other VMs."""
+
+import unittest
+
+from carobramp_core.dispatch.messages import PeerLoad
+from carobramp_daemon.heartbeats import pack_loads, read_status
+from carobramp_schema import InvalidInput
+from carobramp_schema.generated.peer_pb2 import PeerStatus
+
+DIGEST = "0" * 64
+TEAMS = ("bakery", "club")
+
+
+def message(**fields):
+    """Build a heartbeat."""
+    values = {
+        "vm": "tilburg-0",
+        "availability_zone": "tilburg",
+        "incarnation": "a1b2",
+        "host": "127.0.0.1",
+        "peer_port": 8081,
+        "state_number": 3,
+        "state_digest": DIGEST,
+        "heard_number": 4,
+    }
+    return PeerStatus(**(values | fields))
+
+
+class HeartbeatTests(unittest.TestCase):
+    """Only sound heartbeats count."""
+
+    def test_sound(self):
+        """Guards against losing what a heartbeat states."""
+        status = read_status(message(leaving=True, live_peers=2), DIGEST, TEAMS)
+        self.assertEqual((status.number, status.heard), (3, 4))
+        self.assertEqual((status.leaving, status.zone_peers), (True, 2))
+        self.assertEqual(status.address, ("127.0.0.1", 8081))
+        self.assertIsNone(status.loads)
+
+    def test_faults(self):
+        """Guards against names and numbers that no VM can have."""
+        faults = [
+            {"vm": "Not a name"},
+            {"vm": ""},
+            {"availability_zone": ""},
+            {"availability_zone": "x" * 65},
+            {"incarnation": "xyz"},
+            {"state_digest": "short"},
+            {"heard_number": 10**12},
+            {"state_number": 10**12},
+            {"team_loads": [0] * 4000},
+        ]
+        for fields in faults:
+            with self.subTest(fields=fields):
+                found = read_status(message(**fields), DIGEST, TEAMS)
+                self.assertIsInstance(found, InvalidInput)
+
+    def test_useless_address(self):
+        """Guards against calling an address that names no VM."""
+        for fields in ({"host": "0.0.0.0"}, {"host": "name"}, {"peer_port": 0}):
+            status = read_status(message(**fields), DIGEST, TEAMS)
+            self.assertIsNone(status.address)
+
+    def test_loads(self):
+        """Guards against loads that are counted for another team."""
+        loads = (PeerLoad("bakery", 1, 0), PeerLoad("club", 2, 300))
+        packed = pack_loads(loads, TEAMS)
+        sent = message(with_loads=True, team_loads=packed)
+        self.assertEqual(read_status(sent, DIGEST, TEAMS).loads, loads)
+        self.assertIsNone(read_status(sent, "1" * 64, TEAMS).loads)
+
+    def test_cut_off_loads(self):
+        """Guards against a crash on loads that are cut off or out of range."""
+        sent = message(with_loads=True, team_loads=[0, 1, 2, 77, 1, 1, 5])
+        loads = read_status(sent, DIGEST, TEAMS).loads
+        self.assertEqual(loads, (PeerLoad("bakery", 1, 2),))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/daemon/carobramp_daemon/ticket_accept.py
+++ b/packages/daemon/carobramp_daemon/ticket_accept.py
@@ -97,6 +97,13 @@
             return NotAccepted(outcome.detail)
         return outcome.rows if isinstance(outcome, Conflict) else ()
 
+    def is_next(self, ticket, head):
+        """Whether a head that may be stale makes the ticket the next one."""
+        if isinstance(head, InvalidInput):
+            return False
+        known = self.tickets.in_force.number
+        return known <= head.number and ticket.number == head.number + 1
+
     async def state_at(self, number):
         """Return the state at `number`, or None when it is not in force here."""
         await self.tickets.wait_for_number(number, CATCH_UP_S)
--- /dev/null
+++ b/packages/daemon/carobramp_daemon/ticket_calls.py
@@ -0,0 +1,61 @@
+"""Answers calls of other entry VMs about tickets."""
+
+import asyncio
+
+from carobramp_core.tickets.rows import MAX_NUMBER
+from carobramp_core.tickets.spread import PeerSeen
+from carobramp_core.tickets.state import encode_state
+from carobramp_daemon.ticket_sources import SCAN_LIMIT
+from carobramp_schema import encode
+from carobramp_schema.generated import peer_pb2
+
+CHUNK_BYTES = 64 << 10
+REPLY_BYTES = 1 << 20
+
+
+class TicketCalls:
+    """Serves other entry VMs from the ticket service."""
+
+    def __init__(self, tickets):
+        self.tickets = tickets
+
+    async def on_fetch_tickets(self, request):
+        """Answer a peer that asks for tickets."""
+        reply = peer_pb2.FetchTicketsReply()
+        if request.after >= self.tickets.in_force.number:
+            return reply
+        records = self.tickets.kept.after(request.after, min(request.limit, SCAN_LIMIT))
+        if not records:
+            reply.too_old = True
+        size = 0
+        for record in records:
+            data = encode(record)
+            size += len(data)
+            if reply.records and size > REPLY_BYTES:
+                break
+            reply.records.append(data)
+        return reply
+
+    async def on_fetch_state(self, request):
+        """Answer a peer that asks for the whole state."""
+        state, digest = self.tickets.in_force, self.tickets.digest
+        if state.number == 0:
+            return []
+        data = await asyncio.to_thread(encode_state, state)
+        return [
+            peer_pb2.StateChunk(
+                number=state.number,
+                digest=digest,
+                data=data[start : start + CHUNK_BYTES],
+            )
+            for start in range(0, len(data), CHUNK_BYTES)
+        ]
+
+    async def on_notify(self, request):
+        """Take the notice of a newer ticket."""
+        member = self.tickets.membership.view.members.get(request.vm)
+        if member is not None and request.number <= MAX_NUMBER:
+            near = member.zone == self.tickets.membership.view.zone
+            event = PeerSeen(member.name, near, request.number, request.number)
+            self.tickets.observe(event)
+        return peer_pb2.NotifyTicketReply()
--- a/packages/daemon/carobramp_daemon/ticket_sources.py
+++ b/packages/daemon/carobramp_daemon/ticket_sources.py
@@ -27,8 +27,6 @@
 """Above the largest state document: 5,376 objects of about 4 KB at most."""
 
 STATE_TIMEOUT_S = 10.0
-CHUNK_BYTES = 64 << 10
-REPLY_BYTES = 1 << 20
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/daemon/carobramp_daemon/tickets.py
+++ b/packages/daemon/carobramp_daemon/tickets.py
@@ -1,7 +1,6 @@
 """Service that owns the deployment state in force."""
 
 import asyncio
-import collections
 import functools
 import random
 import time
@@ -11,6 +10,7 @@
 from carobramp_core.dispatch.messages import StateInForce
 from carobramp_core.platform import Conflict, Unavailable
 from carobramp_core.tickets.acceptance import Accepted
+from carobramp_core.tickets.kept import KeptRecords
 from carobramp_core.tickets.rows import (
     HEAD_KEY,
     MAX_NUMBER,
@@ -39,16 +39,13 @@
 from carobramp_daemon.ticket_accept import Acceptor
 from carobramp_daemon.ticket_routes import TicketRoutes
 from carobramp_daemon.ticket_sources import (
-    CHUNK_BYTES,
-    REPLY_BYTES,
     SCAN_LIMIT,
     NothingCame,
     PeerSource,
     TableSource,
     snapshot_object,
 )
-from carobramp_schema import InvalidInput, encode
-from carobramp_schema.generated import peer_pb2
+from carobramp_schema import InvalidInput
 from carobramp_schema.generated.settings import Settings
 
 HEAD_JITTER = 0.25
@@ -58,9 +55,6 @@
 START_PAUSE_MAX_S = 4.0
 START_FETCH_S = 5.0
 AGE_EVERY_S = 1.0
-KEPT_BYTES = 4 << 20
-"""Memory for kept tickets; a usual ticket has a few hundred bytes."""
-
 SNAPSHOT_ATTEMPTS = 3
 SNAPSHOT_PAUSE_S = 2.0
 
@@ -347,89 +341,6 @@
             await self.sleep(SNAPSHOT_PAUSE_S * (attempt + 1))
         self.log_line.info("snapshot not written", number=state.number)
 
-    # Calls from peers
-
-    async def on_fetch_tickets(self, request):
-        """Answer a peer that asks for tickets."""
-        reply = peer_pb2.FetchTicketsReply()
-        if request.after >= self.in_force.number:
-            return reply
-        records = self.kept.after(request.after, min(request.limit, SCAN_LIMIT))
-        if not records:
-            reply.too_old = True
-        size = 0
-        for record in records:
-            data = encode(record)
-            size += len(data)
-            if reply.records and size > REPLY_BYTES:
-                break
-            reply.records.append(data)
-        return reply
-
-    async def on_fetch_state(self, request):
-        """Answer a peer that asks for the whole state."""
-        state, digest = self.in_force, self.digest
-        if state.number == 0:
-            return []
-        data = await asyncio.to_thread(encode_state, state)
-        return [
-            peer_pb2.StateChunk(
-                number=state.number,
-                digest=digest,
-                data=data[start : start + CHUNK_BYTES],
-            )
-            for start in range(0, len(data), CHUNK_BYTES)
-        ]
-
-    async def on_notify(self, request):
-        """Take the notice of a newer ticket."""
-        member = self.membership.view.members.get(request.vm)
-        if member is not None and request.number <= MAX_NUMBER:
-            near = member.zone == self.membership.view.zone
-            event = PeerSeen(member.name, near, request.number, request.number)
-            self.observe(event)
-        return peer_pb2.NotifyTicketReply()
-
-
-class KeptRecords:
-    """Newest accepted records, consecutive, bounded by count and bytes."""
-
-    def __init__(self, most):
-        self.most = most
-        self.records: collections.deque = collections.deque()
-        self.sizes: collections.deque[int] = collections.deque()
-        self.size = 0
-
-    def add(self, record):
-        """Keep the next record and drop the oldest ones beyond the bounds."""
-        self.records.append(record)
-        self.sizes.append(len(encode(record)))
-        self.size += self.sizes[-1]
-        while len(self.records) > self.most or self.size > KEPT_BYTES:
-            self.records.popleft()
-            self.size -= self.sizes.popleft()
-
-    def clear(self):
-        """Drop all records, as those between two states are not known."""
-        self.records.clear()
-        self.sizes.clear()
-        self.size = 0
-
-    def get(self, number):
-        """Return the record of one ticket, or None."""
-        found = self.after(number - 1, 1)
-        return found[0] if found else None
-
-    def after(self, number, limit):
-        """Return up to `limit` records directly after `number`, or none of them."""
-        if not self.records:
-            return []
-        start = number + 1 - self.records[0].ticket.number
-        if start < 0:
-            return []
-        stop = min(start + limit, len(self.records))
-        return [self.records[index] for index in range(start, stop)]
-
 
 async def wait_at_most(event, until):
     """Wait for an event until a time, or without limit when it is None."""
--- a/packages/schema/carobramp_schema/generate.py
+++ b/packages/schema/carobramp_schema/generate.py
@@ -32,7 +32,8 @@
     """Mark properties with a default as required, for plain field types.
 
     The generator gives an optional field the type ``T | UnsetType``; a required
-    field with a default has the type ``T``.
+    field with a default has the type ``T``. Defaults of numbers become floats, as
+    decoded numbers are: 1 and 1.0 have different canonical JSON, and so digests.
     """
     if isinstance(node, list):
         for item in node:
@@ -44,10 +45,18 @@
         with_default = [k for k, v in properties.items() if "default" in v]
         required = node.setdefault("required", [])
         required.extend(k for k in with_default if k not in required)
+        for name in with_default:
+            make_default_float(properties[name])
     for value in node.values():
         require_defaults(value)
 
 
+def make_default_float(schema):
+    """Turn the default of a number into a float."""
+    if schema.get("type") == "number":
+        schema["default"] = float(schema["default"])
+
+
 def generate_messages(target):
     """Generate one module of message classes for each JSON Schema."""
     for path in sorted(DEFINITIONS.glob("*.schema.json")):
--- a/packages/schema/carobramp_schema/tests/test_decode.py
+++ b/packages/schema/carobramp_schema/tests/test_decode.py
@@ -2,9 +2,10 @@
 
 import unittest
 
-from carobramp_schema import InvalidInput, decode
+from carobramp_schema import InvalidInput, canonical, decode, encode
 from carobramp_schema.generated.caller import IdsRequest, JobRequest
 from carobramp_schema.generated.settings import Settings
+from carobramp_schema.generated.ticket import TeamState
 
 NESTED_DEPTH = 100_000
 
@@ -48,6 +49,11 @@
         nested = b'{"count": 1, "payload": ' + b"[" * NESTED_DEPTH
         self.check(nested, IdsRequest, "$.payload")
 
+    def test_digest_input_of_defaults(self):
+        """Guards against other canonical JSON after a default was sent and read."""
+        first = decode(b'{"quota_slots": 4}', TeamState)
+        self.assertEqual(canonical(decode(encode(first), TeamState)), canonical(first))
+
 
 if __name__ == "__main__":
     unittest.main()
