--- a/packages/daemon/carobramp_daemon/tickets.py
+++ b/packages/daemon/carobramp_daemon/tickets.py
@@ -224,7 +224,8 @@
         return round(self.spread.age(time.monotonic()) * 1000)
 
     def status(self):
-        """Return the fields of the VM's status that concern the state."""
+        """Return the fields of the VM's status that concern state and peers."""
+        live = self.membership.live_peers(time.monotonic())
         return {
             "state_number": self.in_force.number,
             "state_digest": self.digest,
@@ -232,6 +233,7 @@
             "state_stale": self.stale,
             "heard_number": self.heard_number,
             "not_ready_reason": "" if self.ready else self.not_ready_reason,
+            "live_peers": sorted(peer.name for peer in live),
         }
 
     @Service.task
--- a/packages/testing/carobramp_testing/relay.py
+++ b/packages/testing/carobramp_testing/relay.py
@@ -51,7 +51,8 @@
         self.connections.add(connection)
         try:
             await self.forward(reader, writer)
-        except OSError:
+        except (OSError, asyncio.CancelledError):
+            # `drop` cancels; asyncio's stream server logs a cancelled callback.
             pass
         finally:
             self.connections.discard(connection)
