--- /dev/null
+++ b/packages/testing/carobramp_testing/models/__init__.py
@@ -0,0 +1,1 @@
+"""Model specifications, checked exhaustively within their bounds."""
