Decide ownership of submissions and forward, claim and record

Cause: every VM served only the ids it had issued, without bounds on its records, and answered other ids as unreachable.

--- a/packages/core/carobramp_core/submission/__init__.py
+++ b/packages/core/carobramp_core/submission/__init__.py
@@ -1,1 +1,1 @@
-"""Submission decisions."""
+"""Submission decisions: ids, ownership, claims and recorded answers."""
--- a/packages/core/carobramp_core/submission/ids.py
+++ b/packages/core/carobramp_core/submission/ids.py
@@ -7,12 +7,20 @@
 the issuer's time. A tag under the process's own key makes it impossible to make
 up, so that issuing keeps no record. Only the issuing process can verify the tag;
 other processes use the id only to find the owner.
+
+A caller-made id is a UUID of version 7, which carries its own time.
+
+References
+==========
+
+RFC 9562, section 5.7.
 """
 
 import dataclasses
 import hashlib
 import hmac
 import re
+import uuid
 
 TAG_HEX_CHARS = 24
 MAX_ID_CHARS = 160
@@ -20,6 +28,35 @@
     r"c1\.(?P<vm>[a-z0-9][a-z0-9-]{0,62})\.(?P<incarnation>[0-9a-f]{16})"
     r"\.(?P<sequence>[0-9]{1,15})\.(?P<issued>[0-9]{1,12})\.(?P<tag>[0-9a-f]{24})"
 )
+UUID_VERSION = 7
+UUID_TIME_SHIFT = 80
+_UUID = re.compile("[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}")
+
+
+@dataclasses.dataclass(frozen=True)
+class NoId:
+    """The caller sent no submission id."""
+
+
+@dataclasses.dataclass(frozen=True)
+class InvalidId:
+    """Text that is no submission id."""
+
+    text: str
+
+    def __str__(self):
+        return self.text
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerMadeId:
+    """UUID of version 7 made by a caller; `made` is in seconds since the epoch."""
+
+    text: str
+    made: float
+
+    def __str__(self):
+        return self.text
 
 
 @dataclasses.dataclass(frozen=True)
@@ -70,6 +107,45 @@
     )
 
 
+def parse_caller_made(text: str) -> CallerMadeId | None:
+    """Parse a caller-made id; None when the text is no UUID of version 7.
+
+    Examples
+    ========
+
+    >>> made = parse_caller_made("0193A5C0-0000-7000-8000-000000000001")
+    >>> made.text, made.made
+    ('0193a5c0-0000-7000-8000-000000000001', 1733652643.84)
+    >>> parse_caller_made("0193a5c0-0000-4000-8000-000000000001") is None
+    True
+    """
+    text = text.lower()
+    if _UUID.fullmatch(text) is None:
+        return None
+    parsed = uuid.UUID(text)
+    if parsed.version != UUID_VERSION:
+        return None
+    return CallerMadeId(text, (parsed.int >> UUID_TIME_SHIFT) / 1000)
+
+
+SubmissionId = NoId | InvalidId | IssuedId | CallerMadeId
+
+
+def parse_id(text: str | None) -> SubmissionId:
+    """Parse what the caller sent as submission id; None when it sent nothing.
+
+    Examples
+    ========
+
+    >>> parse_id(None), parse_id("")
+    (NoId(), InvalidId(text=''))
+    """
+    if text is None:
+        return NoId()
+    parsed = parse_issued(text) or parse_caller_made(text)
+    return parsed or InvalidId(text[:MAX_ID_CHARS])
+
+
 class IdIssuer:
     """Issues and verifies the ids of one process.
 
@@ -88,10 +164,14 @@
         self.sequence = 0
 
     def issue(self, now: float) -> str:
+        """Return a new id as text."""
+        return str(self.new(now))
+
+    def new(self, now: float) -> IssuedId:
         """Return a new id."""
         issued = IssuedId(self.vm, self.incarnation, self.sequence, int(now), "")
         self.sequence += 1
-        return str(dataclasses.replace(issued, tag=self.tag(issued)))
+        return dataclasses.replace(issued, tag=self.tag(issued))
 
     def verify(self, issued: IssuedId) -> bool:
         """Whether this process issued the id."""
--- /dev/null
+++ b/packages/daemon/carobramp_daemon/answers.py
@@ -0,0 +1,73 @@
+"""Answers to submissions: outcomes rendered as the caller gets them."""
+
+import functools
+import math
+
+from aiohttp import web
+
+from carobramp_core.outcomes import JobDone, JobFailed, JobOutcome, JobRefused
+from carobramp_core.submission.registry import Answer
+from carobramp_daemon.problems import CONTENT_TYPE, STATUS, problem
+from carobramp_schema import encode
+from carobramp_schema.generated.caller import JobAnswer
+
+HTTP_OK = 200
+JSON = "application/json"
+KNOWN_STATUS = frozenset(STATUS.values()) | {HTTP_OK}
+
+
+@functools.singledispatch
+def render(outcome: JobOutcome, submission_id, not_run, metrics) -> Answer:
+    """Render and count the outcome of a job.
+
+    Parameters
+    ==========
+
+    outcome : a `JobOutcome`
+    submission_id : id of the submission, or an empty string
+    not_run : whether it is certain and final that no task of it ran
+    metrics : metrics of the daemon
+    """
+    raise TypeError(f"unknown outcome {outcome!r}")
+
+
+@render.register
+def _(outcome: JobDone, submission_id, not_run, metrics):
+    metrics.count("jobs", "done")
+    answer = JobAnswer(submission_id, list(outcome.results), outcome.run_ms)
+    return Answer(HTTP_OK, encode(answer))
+
+
+@render.register
+def _(outcome: JobRefused, submission_id, not_run, metrics):
+    metrics.count("jobs", "refused")
+    retry_after = math.ceil(outcome.retry_after)
+    return render_problem(outcome, submission_id, not_run, metrics, retry_after)
+
+
+@render.register
+def _(outcome: JobFailed, submission_id, not_run, metrics):
+    metrics.count("jobs", "failed")
+    return render_problem(outcome, submission_id, not_run, metrics, 0)
+
+
+def render_problem(outcome, submission_id, not_run, metrics, retry_after):
+    """Render a refusal or failure as problem details."""
+    metrics.count("refusals", outcome.reason)
+    details = problem(
+        outcome.reason, outcome.detail, not_run=not_run, submission_id=submission_id
+    )
+    return Answer(details.status, encode(details), retry_after)
+
+
+def response_of(answer: Answer) -> web.Response:
+    """Return the HTTP response for an answer."""
+    headers = {}
+    if answer.retry_after_s > 0:
+        headers["Retry-After"] = str(answer.retry_after_s)
+    return web.Response(
+        status=answer.status,
+        body=answer.body,
+        content_type=JSON if answer.status == HTTP_OK else CONTENT_TYPE,
+        headers=headers,
+    )
--- a/packages/daemon/carobramp_daemon/api.py
+++ b/packages/daemon/carobramp_daemon/api.py
@@ -1,39 +1,44 @@
 """HTTP server for callers and operators."""
 
-import functools
 import time
 
 from aiohttp import web
 from mode import Service
 
-from carobramp_core.outcomes import JobDone, JobFailed, JobRefused, Reason
+from carobramp_core.outcomes import Reason
+from carobramp_core.submission.ids import parse_id
+from carobramp_daemon.answers import response_of
+from carobramp_daemon.forwards import CancelResult
+from carobramp_daemon.jobs import Submission
 from carobramp_daemon.problems import problem, problem_response
-from carobramp_daemon.submission import Reply, Submission
 from carobramp_schema import InvalidInput, decode, encode
 from carobramp_schema.generated.caller import (
     IdsAnswer,
     IdsRequest,
-    JobAnswer,
     JobRequest,
 )
 from carobramp_schema.generated.settings import Settings
 
 JSON = "application/json"
 SUBMISSION_HEADER = "Idempotency-Key"
+RETRY_AFTER_S = 1.0
+CANCEL_STATUS = {CancelResult.FOUND: 202, CancelResult.NOT_FOUND: 404}
 
 
 class CallerApi(Service):
     """Serves callers, operators and the balancer."""
 
-    def __init__(self, settings: Settings, submissions, tickets, metrics, log):
+    def __init__(
+        self, settings: Settings, submissions, canceller, tickets, metrics, log
+    ):
         super().__init__()
         self.settings = settings
         self.submissions = submissions
+        self.canceller = canceller
         self.tickets = tickets
         self.metrics = metrics
         self.log_line = log
         self.draining = False
-        self.accepting = True
         self.port = 0
         self.runner = None
 
@@ -92,7 +97,12 @@
         return problem_response(problem(reason, detail), retry_after)
 
     async def issue_ids(self, request):
-        """Hand out submission ids."""
+        """Hand out submission ids.
+
+        A VM that is about to stop hands out none: they would end with it.
+        """
+        if self.draining:
+            return self.refuse(Reason.DRAINING, "this VM is stopping", RETRY_AFTER_S)
         message, _ = await self.read(request, IdsRequest)
         if isinstance(message, web.Response):
             return message
@@ -106,17 +116,29 @@
         message, body = await self.read(request, JobRequest)
         if isinstance(message, web.Response):
             return message
-        key = request.headers.get(SUBMISSION_HEADER, "")
-        submission = Submission(key, message, body, received)
-        reply = await self.submissions.submit(submission)
+        submission = Submission(
+            key=parse_id(request.headers.get(SUBMISSION_HEADER)),
+            request=message,
+            body=body,
+            received=received,
+            deadline=received + message.deadline_ms / 1000,
+        )
+        answer = await self.submissions.submit(submission)
         kind = message.priority_class
         self.metrics.observe("response_ms", kind, (time.monotonic() - received) * 1000)
-        return respond(reply.outcome, reply, self.metrics)
+        return response_of(answer)
 
     async def cancel_job(self, request):
-        """Cancel a job."""
-        found = self.submissions.cancel(request.match_info["submission_id"])
-        return web.Response(status=202 if found else 404)
+        """Cancel a job here or at its owner.
+
+        The optional query parameter `team` finds the owner of a caller-made id.
+        """
+        name = request.match_info["submission_id"]
+        result = await self.canceller.cancel(name, request.query.get("team", ""))
+        if result is CancelResult.UNREACHABLE:
+            detail = "the owner of the submission cannot be reached"
+            return self.refuse(Reason.OWNER_UNREACHABLE, detail)
+        return web.Response(status=CANCEL_STATUS[result])
 
     async def health(self, request):
         """Whether the process is alive."""
@@ -137,48 +159,10 @@
             "availability_zone": self.settings.vm.availability_zone,
             "ready": self.tickets.ready and not self.draining,
             "state_number": self.tickets.in_force.number,
-            "jobs": len(self.submissions.records),
+            "jobs": len(self.submissions.registry.jobs),
         }
         return web.Response(body=encode(body), content_type=JSON)
 
     async def show_metrics(self, request):
         """Metrics in the text exposition format."""
         return web.Response(text=self.metrics.exposition())
-
-
-@functools.singledispatch
-def respond(outcome, reply: Reply, metrics):
-    """Return the HTTP response for the outcome of a job."""
-    raise TypeError(f"unknown outcome {outcome!r}")
-
-
-@respond.register
-def _(outcome: JobDone, reply, metrics):
-    metrics.count("jobs", "done")
-    answer = JobAnswer(reply.submission_id, list(outcome.results), outcome.run_ms)
-    return web.Response(body=encode(answer), content_type=JSON)
-
-
-@respond.register
-def _(outcome: JobRefused, reply, metrics):
-    metrics.count("jobs", "refused")
-    return respond_problem(reply, metrics, outcome.retry_after)
-
-
-@respond.register
-def _(outcome: JobFailed, reply, metrics):
-    metrics.count("jobs", "failed")
-    return respond_problem(reply, metrics, 0.0)
-
-
-def respond_problem(reply, metrics, retry_after):
-    """Count a failure and return it as problem details."""
-    outcome = reply.outcome
-    metrics.count("refusals", outcome.reason)
-    details = problem(
-        outcome.reason,
-        outcome.detail,
-        not_run=reply.not_run,
-        submission_id=reply.submission_id,
-    )
-    return problem_response(details, retry_after)
--- /dev/null
+++ b/packages/daemon/carobramp_daemon/cancels.py
@@ -0,0 +1,63 @@
+"""Cancellations by callers: here, or at the owner of the submission."""
+
+from carobramp_core.platform import Unavailable
+from carobramp_core.submission.claims import claim_key
+from carobramp_core.submission.ids import CallerMadeId, IssuedId, parse_id
+from carobramp_core.submission.owner import ForwardTo
+from carobramp_daemon.forwards import CancelResult, Forwarder
+from carobramp_schema import InvalidInput, decode
+from carobramp_schema.generated.claim import ClaimRow
+
+PURPOSE = "cancel"
+
+
+class Canceller:
+    """Finds the owner of a submission and cancels the job there.
+
+    Parameters
+    ==========
+
+    submissions : service that owns the submissions of this process
+    forwarder : calls to the owners of other submissions
+    platform : the platform's table
+    """
+
+    def __init__(self, submissions, forwarder: Forwarder, platform):
+        self.submissions = submissions
+        self.forwarder = forwarder
+        self.platform = platform
+
+    async def cancel(self, text: str, team: str) -> CancelResult:
+        """Cancel a job.
+
+        `team` is needed only to find the claim row of a caller-made id that this
+        process does not know.
+        """
+        key = parse_id(text)
+        if self.submissions.cancel_here(key):
+            return CancelResult.FOUND
+        if isinstance(key, CallerMadeId) and team:
+            owner = await self.find_owner(key, team)
+        elif isinstance(key, IssuedId):
+            owner = ForwardTo(key.vm, key.incarnation)
+        else:
+            owner = None
+        if owner is None:
+            return CancelResult.NOT_FOUND
+        if isinstance(owner, Unavailable):
+            return CancelResult.UNREACHABLE
+        if owner.vm == self.submissions.issuer.vm:
+            return CancelResult.NOT_FOUND
+        return await self.forwarder.cancel(owner, str(key))
+
+    async def find_owner(self, key, team) -> ForwardTo | Unavailable | None:
+        """Return the owner that the claim row names."""
+        rows = await self.platform.read((claim_key(team, key),), PURPOSE)
+        if isinstance(rows, Unavailable):
+            return rows
+        if not rows:
+            return None
+        row = decode(rows[0].value, ClaimRow)
+        if isinstance(row, InvalidInput):
+            return Unavailable(f"malformed claim row: {row}", maybe_applied=False)
+        return ForwardTo(row.vm, row.incarnation)
--- /dev/null
+++ b/packages/daemon/carobramp_daemon/claims.py
@@ -0,0 +1,162 @@
+"""Service that inserts claim rows and removes old ones."""
+
+import asyncio
+import functools
+import time
+
+from mode import Service
+
+from carobramp_core.platform import LeaseHeld, Unavailable
+from carobramp_core.submission.claims import (
+    CLAIM_PREFIX,
+    Claim,
+    ClaimBatcher,
+    ClaimDecided,
+    ClaimWanted,
+    GroupDue,
+    ReadEnded,
+    ReadRows,
+    SendTransaction,
+    TransactionEnded,
+    choose_removals,
+    deletion,
+)
+from carobramp_schema.generated.settings import SubmissionSettings
+
+PURPOSE = "claim"
+REMOVAL_PURPOSE = "claim_removal"
+REMOVAL_LEASE = "claim-removal"
+REMOVAL_EVERY_S = 60.0
+# Longer than the time between two passes, so that one VM keeps the work.
+REMOVAL_LEASE_S = 150.0
+REMOVAL_ROWS = 64
+# Removals leave most of the store's several hundred writes/s to claims and tickets.
+REMOVAL_PAUSE_S = 0.1
+
+
+class ClaimService(Service):
+    """Feeds events to the claim batcher and carries out its effects.
+
+    Parameters
+    ==========
+
+    settings : submission settings
+    platform : the platform's table and leases
+    holder : name of this process for leases
+    on_decided : called with each `ClaimDecided`
+    metrics : metrics of the daemon
+    log : log of this part
+    """
+
+    def __init__(
+        self, settings: SubmissionSettings, platform, holder, on_decided, metrics, log
+    ):
+        super().__init__()
+        self.settings = settings
+        self.platform = platform
+        self.holder = holder
+        self.on_decided = on_decided
+        self.metrics = metrics
+        self.log_line = log
+        self.batcher = ClaimBatcher(settings)
+        self.inbox: asyncio.Queue = asyncio.Queue()
+        self.calls: set[asyncio.Task] = set()
+
+    async def on_stop(self):
+        """Cancel the calls under way."""
+        for call in self.calls:
+            call.cancel()
+        await asyncio.gather(*self.calls, return_exceptions=True)
+
+    def send(self, claim: Claim):
+        """Insert a claim row; the verdict goes to `on_decided`."""
+        self.inbox.put_nowait(ClaimWanted(claim))
+
+    @Service.task
+    async def handle_events(self):
+        """Handle events and wake-ups until the service stops."""
+        while not self.should_stop:
+            event = await self.next_event()
+            for effect in self.batcher.handle(event, time.monotonic()):
+                carry_out(effect, self)
+
+    async def next_event(self):
+        """Return the next event, or `GroupDue` when a group is due."""
+        wakeup = self.batcher.next_wakeup()
+        timeout = None if wakeup is None else max(0.0, wakeup - time.monotonic())
+        try:
+            async with asyncio.timeout(timeout):
+                return await self.inbox.get()
+        except TimeoutError:
+            return GroupDue()
+
+    def spawn(self, coroutine):
+        """Run a call and keep it until it ends."""
+        call = asyncio.create_task(coroutine)
+        self.calls.add(call)
+        call.add_done_callback(self.calls.discard)
+
+    async def transact(self, effect: SendTransaction):
+        """Send a transaction and report its outcome."""
+        outcome = await self.platform.transact(effect.transaction, PURPOSE)
+        self.inbox.put_nowait(TransactionEnded(outcome))
+
+    async def read(self, effect: ReadRows):
+        """Read rows and report the outcome."""
+        outcome = await self.platform.read(effect.keys, PURPOSE)
+        self.inbox.put_nowait(ReadEnded(outcome))
+
+    @Service.task
+    async def remove_old_rows(self):
+        """Remove old claim rows at intervals while holding the lease.
+
+        The lease only keeps several VMs from doing the same work: a row's age
+        alone decides whether it is removed.
+        """
+        while not self.should_stop:
+            await self.sleep(REMOVAL_EVERY_S)
+            lease = await self.platform.acquire(
+                REMOVAL_LEASE, self.holder, REMOVAL_LEASE_S, REMOVAL_PURPOSE
+            )
+            if isinstance(lease, LeaseHeld) and lease.holder == self.holder:
+                await self.remove_pass()
+
+    async def remove_pass(self):
+        """Scan the claim rows once and remove the old ones."""
+        after: str | None = CLAIM_PREFIX
+        removed = 0
+        while after is not None and not self.should_stop:
+            rows = await self.platform.scan(
+                CLAIM_PREFIX, after, REMOVAL_ROWS, REMOVAL_PURPOSE
+            )
+            if isinstance(rows, Unavailable):
+                return
+            kept = self.settings.claim_kept_ms / 1000
+            removal = choose_removals(rows, REMOVAL_ROWS, time.time(), kept)
+            if removal.rows:
+                await self.platform.transact(deletion(removal.rows), REMOVAL_PURPOSE)
+                removed += len(removal.rows)
+            after = removal.after
+            await self.sleep(REMOVAL_PAUSE_S)
+        self.log_line.info("old claim rows removed", rows=removed)
+
+
+@functools.singledispatch
+def carry_out(effect, service):
+    """Carry out one effect of the batcher."""
+    raise TypeError(f"unknown effect {effect!r}")
+
+
+@carry_out.register
+def _(effect: SendTransaction, service):
+    service.spawn(service.transact(effect))
+
+
+@carry_out.register
+def _(effect: ReadRows, service):
+    service.spawn(service.read(effect))
+
+
+@carry_out.register
+def _(effect: ClaimDecided, service):
+    service.on_decided(effect)
--- a/packages/daemon/carobramp_daemon/daemon.py
+++ b/packages/daemon/carobramp_daemon/daemon.py
@@ -8,7 +8,10 @@
 
 from carobramp_core.submission.ids import IdIssuer
 from carobramp_daemon.api import CallerApi
+from carobramp_daemon.cancels import Canceller
 from carobramp_daemon.dispatch import DispatchService
+from carobramp_daemon.forwarded import ForwardHandlers
+from carobramp_daemon.forwards import Forwarder
 from carobramp_daemon.logs import Log
 from carobramp_daemon.membership import MembershipService
 from carobramp_daemon.metrics import Metrics
@@ -57,14 +60,33 @@
         self.dispatch = DispatchService(
             settings.dispatch, self.upstreams, self.job_finished, self.metrics
         )
+        submission_log = self.new_log("submission")
+        self.forwarder = Forwarder(
+            settings, self.peers, self.membership, self.metrics, submission_log
+        )
         self.submissions = SubmissionService(
-            settings, issuer, self.dispatch, self.metrics, self.new_log("submission")
+            settings,
+            issuer,
+            self.dispatch,
+            self.forwarder,
+            self.platform,
+            lambda: self.tickets.ready,
+            self.metrics,
+            submission_log,
         )
+        forward_handlers = ForwardHandlers(self.submissions, self.metrics)
+        self.handlers.forward = forward_handlers.forward
+        self.handlers.cancel = forward_handlers.cancel
         self.tickets = TicketService(
             settings, self.platform, self.dispatch, self.metrics, self.new_log("ticket")
         )
         self.api = CallerApi(
-            settings, self.submissions, self.tickets, self.metrics, self.new_log("api")
+            settings,
+            self.submissions,
+            Canceller(self.submissions, self.forwarder, self.platform),
+            self.tickets,
+            self.metrics,
+            self.new_log("api"),
         )
 
     def job_finished(self, event):
@@ -94,10 +116,10 @@
         self.api.draining = True
         self.log_line.info("draining")
         await asyncio.sleep(self.settings.drain.drain_notice_ms / 1000)
-        self.api.accepting = False
+        self.submissions.accepting = False
         try:
             async with asyncio.timeout(self.settings.drain.drain_max_ms / 1000):
-                while self.dispatch.dispatcher.jobs:
+                while self.submissions.busy() or self.peer_api.forwards_open:
                     await asyncio.sleep(DRAIN_POLL_S)
         except TimeoutError:
             self.log_line.info("drain took too long")
--- /dev/null
+++ b/packages/daemon/carobramp_daemon/forwarded.py
@@ -0,0 +1,71 @@
+"""Handlers of calls from other entry VMs about submissions."""
+
+import time
+
+from carobramp_core.outcomes import Reason
+from carobramp_core.submission.ids import MAX_ID_CHARS, NoId, parse_id
+from carobramp_core.submission.registry import Answer
+from carobramp_daemon.jobs import Submission
+from carobramp_daemon.problems import problem
+from carobramp_daemon.submission import SubmissionService
+from carobramp_schema import InvalidInput, decode, encode
+from carobramp_schema.generated import peer_pb2
+from carobramp_schema.generated.caller import JobRequest
+
+
+class ForwardHandlers:
+    """Runs and cancels the jobs that other entry VMs hand to this one."""
+
+    def __init__(self, submissions: SubmissionService, metrics):
+        self.submissions = submissions
+        self.metrics = metrics
+
+    async def forward(self, request):
+        """Answer a job that another entry VM takes this process to own."""
+        received = time.monotonic()
+        answer = self.check(request)
+        if answer is None:
+            answer = await self.run(request, received)
+        return peer_pb2.ForwardReply(
+            status=answer.status, body=answer.body, retry_after_s=answer.retry_after_s
+        )
+
+    def check(self, request) -> Answer | None:
+        """Refuse a message beyond the bounds."""
+        if not 0 < len(request.submission_id) <= MAX_ID_CHARS:
+            return self.refuse(Reason.SUBMISSION_INVALID, "no usable submission id", "")
+        limit = self.submissions.settings.limits.max_body_bytes
+        if len(request.body) > limit:
+            detail = f"the body is over {limit} bytes"
+            return self.refuse(Reason.BODY_TOO_LARGE, detail, request.submission_id)
+        return None
+
+    def refuse(self, reason, detail, submission_id) -> Answer:
+        """Count and render a refusal; it never says that the job did not run."""
+        self.metrics.count("refusals", reason)
+        details = problem(reason, detail, submission_id=submission_id)
+        return Answer(details.status, encode(details))
+
+    async def run(self, request, received) -> Answer:
+        """Submit the job; its deadline counts from the receipt at the first VM."""
+        message = decode(request.body, JobRequest)
+        name = request.submission_id
+        if isinstance(message, InvalidInput):
+            return self.refuse(Reason.MALFORMED_REQUEST, str(message), name)
+        remaining_ms = min(request.remaining_ms, message.deadline_ms)
+        submission = Submission(
+            key=parse_id(name),
+            request=message,
+            body=request.body,
+            received=received,
+            deadline=received + remaining_ms / 1000,
+            addressed_to=request.incarnation,
+        )
+        return await self.submissions.submit(submission)
+
+    async def cancel(self, request):
+        """Cancel a job of this process."""
+        key = parse_id(request.submission_id[: MAX_ID_CHARS + 1])
+        mine = request.incarnation == self.submissions.issuer.incarnation
+        found = mine and not isinstance(key, NoId) and self.submissions.cancel_here(key)
+        return peer_pb2.CancelReply(found=found)
--- /dev/null
+++ b/packages/daemon/carobramp_daemon/forwards.py
@@ -0,0 +1,111 @@
+"""Calls to and from other entry VMs about submissions."""
+
+import enum
+import time
+
+from carobramp_core.outcomes import JobFailed, Reason, Waste
+from carobramp_core.submission.owner import ForwardTo
+from carobramp_core.submission.registry import Answer
+from carobramp_daemon.answers import KNOWN_STATUS
+from carobramp_daemon.peers import PeerUnreachable
+from carobramp_schema.generated import peer_pb2
+from carobramp_schema.generated.settings import Settings
+
+
+class CancelResult(enum.Enum):
+    """What became of a cancellation."""
+
+    FOUND = "found"
+    NOT_FOUND = "not_found"
+    UNREACHABLE = "unreachable"
+
+
+class Forwarder:
+    """Hands jobs and cancellations to the owners of their ids.
+
+    Parameters
+    ==========
+
+    settings : settings of the daemon
+    peers : channels to other entry VMs
+    membership : service that knows the addresses of other entry VMs
+    metrics : metrics of the daemon
+    log : log of this part
+    """
+
+    def __init__(self, settings: Settings, peers, membership, metrics, log):
+        self.settings = settings
+        self.peers = peers
+        self.membership = membership
+        self.metrics = metrics
+        self.log_line = log
+        self.under_way = 0
+
+    def full(self) -> bool:
+        """Whether no further job may be forwarded."""
+        return self.under_way >= self.settings.limits.max_jobs
+
+    async def forward(self, owner: ForwardTo, submission) -> Answer | JobFailed:
+        """Send a job to its owner, once, and return the owner's answer.
+
+        Explanation
+        ===========
+
+        The owner may have started the job when no answer comes, so that nothing
+        is sent again and the failure never says that the job did not run.
+        """
+        name = str(submission.key)
+        address = self.membership.address_of(owner.vm)
+        if address is None:
+            detail = f"the address of {owner.vm} is not known"
+            return JobFailed(Reason.OWNER_UNREACHABLE, detail)
+        remaining = submission.deadline - time.monotonic()
+        if remaining <= 0:
+            detail = "the deadline passed before the job was forwarded"
+            return JobFailed(Reason.DEADLINE_EXCEEDED, detail)
+        request = peer_pb2.ForwardRequest(
+            submission_id=name,
+            incarnation=owner.incarnation,
+            body=submission.body,
+            remaining_ms=max(1, int(remaining * 1000)),
+            sender=self.settings.vm.name,
+        )
+        margin = self.settings.submission.forward_margin_ms / 1000
+        self.metrics.count("wasted_messages", Waste.FORWARD)
+        self.under_way += 1
+        try:
+            reply = await self.peers.call(
+                address, "Forward", request, remaining + margin
+            )
+        finally:
+            self.under_way -= 1
+        return self.read_reply(owner, name, reply)
+
+    def read_reply(self, owner, name, reply):
+        """Return the owner's answer, or why there is none."""
+        if isinstance(reply, PeerUnreachable):
+            self.log_line.info("forward failed", job=name, detail=reply.detail)
+            if reply.maybe_received:
+                detail = f"{owner.vm} gave no answer"
+                return JobFailed(Reason.FORWARD_LOST, detail)
+            detail = f"{owner.vm} cannot be reached"
+            return JobFailed(Reason.OWNER_UNREACHABLE, detail)
+        if reply.status not in KNOWN_STATUS:
+            detail = f"{owner.vm} answered with status {reply.status}"
+            return JobFailed(Reason.FORWARD_LOST, detail)
+        return Answer(reply.status, reply.body, reply.retry_after_s)
+
+    async def cancel(self, owner: ForwardTo, name) -> CancelResult:
+        """Ask the owner of a job to cancel it."""
+        address = self.membership.address_of(owner.vm)
+        if address is None:
+            return CancelResult.UNREACHABLE
+        request = peer_pb2.CancelRequest(
+            submission_id=name, incarnation=owner.incarnation
+        )
+        timeout = self.settings.membership.call_timeout_ms / 1000
+        reply = await self.peers.call(address, "Cancel", request, timeout)
+        if isinstance(reply, PeerUnreachable):
+            self.log_line.info("cancel failed", job=name, detail=reply.detail)
+            return CancelResult.UNREACHABLE
+        return CancelResult.FOUND if reply.found else CancelResult.NOT_FOUND
--- a/packages/daemon/carobramp_daemon/peers.py
+++ b/packages/daemon/carobramp_daemon/peers.py
@@ -53,6 +53,7 @@
         self.log_line = log
         self.server: Server
         self.port = 0
+        self.forwards_open = 0
 
     async def on_start(self):
         """Listen for other entry VMs."""
@@ -86,7 +87,11 @@
 
     async def Forward(self, stream):
         """Run a job that this process owns."""
-        await self.answer(stream, "forward", self.handlers.forward)
+        self.forwards_open += 1
+        try:
+            await self.answer(stream, "forward", self.handlers.forward)
+        finally:
+            self.forwards_open -= 1
 
     async def Cancel(self, stream):
         """Cancel a job that this process owns."""
--- a/packages/daemon/carobramp_daemon/submission.py
+++ b/packages/daemon/carobramp_daemon/submission.py
@@ -1,9 +1,11 @@
 """Service that owns the submissions of this process."""
 
 import asyncio
-import dataclasses
+import functools
 import hashlib
+import secrets
 import time
+from collections.abc import Callable
 
 from mode import Service
 
@@ -13,119 +15,357 @@
     JobFinished,
     JobSubmitted,
 )
-from carobramp_core.outcomes import JobFailed, JobOutcome, JobRefused, Reason
-from carobramp_core.submission.ids import IdIssuer, parse_issued
-from carobramp_schema.generated.caller import JobRequest
+from carobramp_core.outcomes import JobFailed, JobRefused, Reason
+from carobramp_core.submission.claims import (
+    Claim,
+    ClaimDecided,
+    ClaimTaken,
+    ClaimUnknown,
+    claim_key,
+)
+from carobramp_core.submission.ids import (
+    CallerMadeId,
+    IdIssuer,
+    IssuedId,
+    NoId,
+    SubmissionId,
+)
+from carobramp_core.submission.owner import (
+    AnswerRecorded,
+    Attach,
+    ClaimFirst,
+    Decision,
+    ForwardTo,
+    Process,
+    Received,
+    Refuse,
+    RunHere,
+    decide,
+    decide_claimed,
+)
+from carobramp_core.submission.registry import Answer, Registry
+from carobramp_daemon.answers import render
+from carobramp_daemon.claims import ClaimService
+from carobramp_daemon.forwards import Forwarder
+from carobramp_daemon.jobs import Pending, PendingClaim, Submission
+from carobramp_schema.generated.claim import ClaimRow
 from carobramp_schema.generated.settings import Settings
 
+NONCE_BYTES = 16
+SWEEP_S = 5.0
+# Callers that wait for one submission; each holds a connection and its body.
+MAX_WAITERS = 64
 
-@dataclasses.dataclass(frozen=True)
-class Submission:
-    """A job as received from a caller.
-
-    `key` is the submission id that the caller sent, or an empty string. `body` is
-    the JSON body as received, for forwarding and for the digest.
-    """
-
-    key: str
-    request: JobRequest
-    body: bytes
-    received: float
 
+class SubmissionService(Service):
+    """Runs each submission at most once.
 
-@dataclasses.dataclass(frozen=True)
-class Reply:
-    """Outcome of a submission under its id.
+    Parameters
+    ==========
 
-    `not_run` is true only when it is certain and final that no task ran.
+    settings : settings of the daemon
+    issuer : issuer of this process's ids
+    dispatch : service that runs jobs
+    forwarder : calls to the owners of other submissions
+    platform : the platform's table and leases
+    ready : whether a deployment state is in force
+    metrics : metrics of the daemon
+    log : log of this part
     """
 
-    submission_id: str
-    outcome: JobOutcome
-    not_run: bool = False
-
-
-@dataclasses.dataclass
-class Record:
-    """What is known of one submission id."""
-
-    digest: bytes
-    waiters: list[asyncio.Future]
-    reply: Reply | None = None
-
-
-class SubmissionService(Service):
-    """Runs each submission of this process at most once."""
-
-    def __init__(self, settings: Settings, issuer: IdIssuer, dispatch, metrics, log):
+    def __init__(
+        self,
+        settings: Settings,
+        issuer: IdIssuer,
+        dispatch,
+        forwarder: Forwarder,
+        platform,
+        ready: Callable[[], bool],
+        metrics,
+        log,
+    ):
         super().__init__()
         self.settings = settings
         self.issuer = issuer
+        self.dispatch = dispatch
+        self.forwarder = forwarder
+        self.ready = ready
         self.metrics = metrics
         self.log_line = log
-        self.dispatch = dispatch
-        self.records: dict[str, Record] = {}
+        self.accepting = True
+        self.open_calls = 0
+        self.registry = Registry(settings.submission, settings.limits.max_jobs)
+        self.pending: dict[str, Pending] = {}
+        holder = f"{issuer.vm}/{issuer.incarnation}"
+        self.claims = ClaimService(
+            settings.submission, platform, holder, self.claim_decided, metrics, log
+        )
+
+    def on_init_dependencies(self):
+        """The claim service starts and stops with this one."""
+        return [self.claims]
+
+    @Service.task
+    async def sweep(self):
+        """Drop expired ids and answers at intervals."""
+        while not self.should_stop:
+            await self.sleep(SWEEP_S)
+            self.registry.sweep(time.monotonic())
+
+    def busy(self) -> bool:
+        """Whether a submission is under way here or forwarded from here."""
+        return self.open_calls > 0 or bool(self.registry.jobs)
 
     def issue(self, count):
         """Return new submission ids."""
         now = time.monotonic()
         return [self.issuer.issue(now) for _ in range(count)]
 
-    async def submit(self, submission: Submission) -> Reply:
-        """Return the outcome of a submission; never raises."""
-        key = submission.key or self.issuer.issue(submission.received)
-        issued = parse_issued(key)
-        if issued is None or not self.issuer.verify(issued):
-            refused = JobFailed(Reason.OWNER_UNREACHABLE, "another process owns the id")
-            return Reply(key, refused)
+    async def submit(self, submission: Submission) -> Answer:
+        """Return the answer to a submission."""
+        decision = self.decide(submission)
+        self.open_calls += 1
+        try:
+            return await carry_out(decision, self, submission)
+        finally:
+            self.open_calls -= 1
+
+    def decide(self, submission: Submission) -> Decision:
+        """Decide what happens to a submission."""
+        key, now = submission.key, time.monotonic()
+        issued = key if isinstance(key, IssuedId) else None
+        received = Received(
+            key=key,
+            digest=hashlib.sha256(submission.body).digest(),
+            known=self.registry.known(key, now),
+            genuine=issued is not None and self.issuer.verify(issued),
+            expired=issued is not None and self.registry.used.expired(issued, now),
+            addressed_to=submission.addressed_to,
+        )
+        return decide(received, self.process(), self.settings.submission, time.time())
+
+    def process(self) -> Process:
+        """Return the identity and condition of this process."""
+        return Process(
+            vm=self.issuer.vm,
+            incarnation=self.issuer.incarnation,
+            accepting=self.accepting,
+            ready=self.ready(),
+            full=self.registry.full() or self.forwarder.full(),
+        )
+
+    def begin(self, submission: Submission, keep: bool) -> str:
+        """Note a job under way and return its name; an id makes it recorded."""
+        key = submission.key
         digest = hashlib.sha256(submission.body).digest()
-        record = self.records.get(key)
-        if record is None:
-            record = self.records[key] = Record(digest, [])
-            self.start_job(key, submission)
-        if record.digest != digest:
-            return Reply(key, JobRefused(Reason.SUBMISSION_CONFLICT, "other body"))
-        if record.reply is not None:
-            return record.reply
-        waiter = asyncio.get_running_loop().create_future()
-        record.waiters.append(waiter)
-        return await waiter
+        if not isinstance(key, IssuedId | CallerMadeId):
+            key = self.issuer.new(time.monotonic())
+        self.registry.begin(key, digest, keep, time.monotonic())
+        self.pending[str(key)] = Pending()
+        self.metrics.set("jobs_running", len(self.registry.jobs))
+        return str(key)
 
-    def start_job(self, key, submission):
-        """Hand a job to dispatch."""
+    def start_job(self, name, submission):
+        """Hand a job to dispatch; called once for each submission."""
         request = submission.request
+        if submission.deadline <= time.monotonic():
+            detail = "the deadline passed before the job could start"
+            failed = JobFailed(Reason.DEADLINE_EXCEEDED, detail, not_run=True)
+            self.finished(JobFinished(name, failed))
+            return
         job = Job(
-            submission_id=key,
+            submission_id=name,
             service=request.service,
             team=request.team,
             priority_class=request.priority_class,
             received=submission.received,
-            deadline=submission.received + request.deadline_ms / 1000,
+            deadline=submission.deadline,
             idempotent=request.idempotent,
             payloads=tuple(task.payload for task in request.tasks),
             run_ms=tuple(task.run_ms for task in request.tasks),
         )
         self.dispatch.send(JobSubmitted(job))
 
-    def cancel(self, key):
-        """Cancel a job; whether it is known here."""
-        if key not in self.records:
-            return False
-        self.dispatch.send(JobCancelled(key, Reason.CANCELLED))
-        return True
-
     def finished(self, event: JobFinished):
         """Record the outcome of a job and answer those who wait."""
-        record = self.records[event.submission_id]
-        record.reply = reply_of(event)
-        for waiter in record.waiters:
+        name, outcome = event.submission_id, event.outcome
+        not_run = isinstance(outcome, JobRefused) or getattr(outcome, "not_run", False)
+        answer = render(outcome, name, not_run, self.metrics)
+        self.registry.finish(name, answer, time.monotonic())
+        self.release(name, answer)
+
+    def release(self, name, result):
+        """Hand a result to those who wait and forget the job."""
+        for waiter in self.pending.pop(name).waiters:
             if not waiter.done():
-                waiter.set_result(record.reply)
-        record.waiters.clear()
+                waiter.set_result(result)
+        self.metrics.set("jobs_running", len(self.registry.jobs))
 
+    def add_waiter(self, name) -> asyncio.Future:
+        """Return a future for the result of a job under way."""
+        waiter = asyncio.get_running_loop().create_future()
+        self.pending[name].waiters.append(waiter)
+        return waiter
+
+    async def wait_for_answer(self, name, waiter, submission: Submission) -> Answer:
+        """Wait for the result of a job under way."""
+        margin = self.settings.submission.forward_margin_ms / 1000
+        remaining = submission.deadline + margin - time.monotonic()
+        try:
+            async with asyncio.timeout(remaining):
+                result = await waiter
+        except TimeoutError:
+            detail = "the deadline passed before the answer was there"
+            failed = JobFailed(Reason.DEADLINE_EXCEEDED, detail)
+            return self.answer(Refuse(failed), name)
+        finally:
+            self.drop_waiter(name, waiter)
+        if isinstance(result, Answer):
+            return result
+        return await carry_out(result, self, submission)
+
+    def drop_waiter(self, name, waiter):
+        """Forget a future that nobody waits for any more."""
+        pending = self.pending.get(name)
+        if pending is not None and waiter in pending.waiters:
+            pending.waiters.remove(waiter)
+
+    def answer(self, decision: Refuse, name) -> Answer:
+        """Render a refusal."""
+        self.log_line.info(
+            "not served",
+            job=name,
+            reason=decision.outcome.reason,
+            detail=decision.outcome.detail,
+        )
+        return render(decision.outcome, name, decision.not_run, self.metrics)
+
+    def claim(self, name, submission, nonce):
+        """Insert a claim row for a job under way."""
+        nonce = nonce or secrets.token_hex(NONCE_BYTES)
+        row = ClaimRow(
+            vm=self.issuer.vm,
+            incarnation=self.issuer.incarnation,
+            nonce=nonce,
+            digest=self.registry.jobs[name].digest.hex(),
+        )
+        self.pending[name].claim = PendingClaim(submission.key, submission, nonce)
+        key = claim_key(submission.request.team, submission.key)
+        self.claims.send(Claim(name, key, row, submission.deadline))
+
+    def claim_decided(self, event: ClaimDecided):
+        """Continue with a job whose claim has its verdict."""
+        name = event.submission_id
+        pending = self.pending[name]
+        claim, pending.claim = pending.claim, None
+        if claim is None:
+            raise RuntimeError(f"a second verdict on the claim of {name}")
+        decision = decide_claimed(
+            event.verdict,
+            claim.key,
+            self.registry.jobs[name].digest,
+            self.process(),
+            self.settings.submission,
+            time.time(),
+        )
+        if isinstance(decision, RunHere):
+            self.start_claimed(name, pending, claim.submission)
+            return
+        if pending.cancelled:
+            failed = JobFailed(Reason.CANCELLED, "cancelled before the claim held")
+            decision = Refuse(failed)
+        nonce = nonce_to_keep(claim.nonce, event.verdict)
+        self.registry.leave_claim(claim.key, nonce)
+        self.release(name, decision)
+
+    def start_claimed(self, name, pending, submission):
+        """Start a job whose claim holds, unless it was cancelled meanwhile."""
+        if pending.cancelled:
+            failed = JobFailed(Reason.CANCELLED, "cancelled", not_run=True)
+            self.finished(JobFinished(name, failed))
+        else:
+            self.start_job(name, submission)
+
+    def cancel_here(self, key: SubmissionId, reason=Reason.CANCELLED) -> bool:
+        """Cancel a job that this process owns; whether it knows the id."""
+        name = str(key)
+        pending = self.pending.get(name)
+        if pending is None:
+            return name in self.registry.answers
+        if pending.claim is not None:
+            pending.cancelled = True
+        else:
+            self.dispatch.send(JobCancelled(name, reason))
+        return True
+
+
+def nonce_to_keep(nonce, verdict) -> str | None:
+    """Return the nonce of a claim that may hold after all."""
+    if isinstance(verdict, ClaimUnknown):
+        return nonce
+    if isinstance(verdict, ClaimTaken) and verdict.row.nonce == nonce:
+        return nonce
+    return None
 
-def reply_of(event: JobFinished) -> Reply:
-    """Return the reply for a finished job."""
-    outcome = event.outcome
-    not_run = isinstance(outcome, JobRefused) or getattr(outcome, "not_run", False)
-    return Reply(event.submission_id, outcome, not_run)
+
+@functools.singledispatch
+async def carry_out(decision, service, submission) -> Answer:
+    """Carry out a decision about a submission and return its answer."""
+    raise TypeError(f"unknown decision {decision!r}")
+
+
+@carry_out.register
+async def _(decision: RunHere, service, submission):
+    has_id = not isinstance(submission.key, NoId)
+    name = service.begin(submission, keep=has_id)
+    waiter = service.add_waiter(name)
+    service.start_job(name, submission)
+    try:
+        return await service.wait_for_answer(name, waiter, submission)
+    except asyncio.CancelledError:
+        # A caller that holds the id can come back for the answer; without an id
+        # nobody can.
+        if not has_id:
+            service.dispatch.send(JobCancelled(name, Reason.CANCELLED))
+        raise
+
+
+@carry_out.register
+async def _(decision: ClaimFirst, service, submission):
+    name = service.begin(submission, keep=True)
+    waiter = service.add_waiter(name)
+    service.claim(name, submission, decision.nonce)
+    return await service.wait_for_answer(name, waiter, submission)
+
+
+@carry_out.register
+async def _(decision: Attach, service, submission):
+    name = str(submission.key)
+    if len(service.pending[name].waiters) >= MAX_WAITERS:
+        detail = "too many callers wait for this submission"
+        return service.answer(Refuse(JobRefused(Reason.TOO_MANY_JOBS, detail)), name)
+    return await service.wait_for_answer(name, service.add_waiter(name), submission)
+
+
+@carry_out.register
+async def _(decision: AnswerRecorded, service, submission):
+    return decision.answer
+
+
+@carry_out.register
+async def _(decision: ForwardTo, service, submission):
+    result = await service.forwarder.forward(decision, submission)
+    if isinstance(result, Answer):
+        return result
+    return service.answer(Refuse(result), str(submission.key))
+
+
+@carry_out.register
+async def _(decision: Refuse, service, submission):
+    key = submission.key
+    name = "" if isinstance(key, NoId) else str(key)
+    answer = service.answer(decision, name)
+    if decision.record:
+        digest = hashlib.sha256(submission.body).digest()
+        service.registry.refuse(key, digest, answer, time.monotonic())
+    return answer
