--- a/packages/daemon/carobramp_daemon/submission.py
+++ b/packages/daemon/carobramp_daemon/submission.py
@@ -212,14 +212,17 @@
         margin = self.settings.submission.forward_margin_ms / 1000
         remaining = submission.deadline + margin - time.monotonic()
         try:
-            async with asyncio.timeout(remaining):
-                result = await waiter
-        except TimeoutError:
+            await asyncio.wait({waiter}, timeout=max(0.0, remaining))
+            # After a pause of the process every timer is due at once; the margin
+            # lets dispatch decide the job first.
+            await asyncio.wait({waiter}, timeout=margin)
+        finally:
+            self.drop_waiter(name, waiter)
+        if not waiter.done():
             detail = "the deadline passed before the answer was there"
             failed = JobFailed(Reason.DEADLINE_EXCEEDED, detail)
             return self.answer(Refuse(failed), name)
-        finally:
-            self.drop_waiter(name, waiter)
+        result = waiter.result()
         if isinstance(result, Answer):
             return result
         return await carry_out(result, self, submission)
