--- a/packages/daemon/carobramp_daemon/daemon.py
+++ b/packages/daemon/carobramp_daemon/daemon.py
@@ -1,6 +1,7 @@
 """The daemon of an entry VM: starts the services and stops them gracefully."""
 
 import asyncio
+import random
 import secrets
 import signal
 
@@ -18,6 +19,7 @@
 from carobramp_daemon.peers import PeerApi, PeerClients, PeerHandlers
 from carobramp_daemon.platform import PlatformClient
 from carobramp_daemon.submission import SubmissionService
+from carobramp_daemon.ticket_calls import TicketCalls
 from carobramp_daemon.tickets import TicketService
 from carobramp_daemon.upstreams import UpstreamClient
 from carobramp_schema.generated.settings import Settings
@@ -50,16 +52,20 @@
             settings, self.handlers, self.metrics, self.new_log("peer")
         )
         self.peers = PeerClients(settings, self.metrics, self.new_log("peer"))
+        self.control = PeerClients(settings, self.metrics, self.new_log("peer"))
+        self.dispatch = DispatchService(
+            settings.dispatch, self.upstreams, self.job_finished, self.metrics
+        )
         self.membership = MembershipService(
             settings,
             self.platform,
-            self.peers,
+            self.control,
+            self.dispatch,
+            self.incarnation,
+            random.Random(),
             self.metrics,
             self.new_log("membership"),
         )
-        self.dispatch = DispatchService(
-            settings.dispatch, self.upstreams, self.job_finished, self.metrics
-        )
         submission_log = self.new_log("submission")
         self.forwarder = Forwarder(
             settings, self.peers, self.membership, self.metrics, submission_log
@@ -78,8 +84,16 @@
         self.handlers.forward = forward_handlers.forward
         self.handlers.cancel = forward_handlers.cancel
         self.tickets = TicketService(
-            settings, self.platform, self.dispatch, self.metrics, self.new_log("ticket")
+            settings,
+            self.platform,
+            self.membership,
+            self.control,
+            self.dispatch,
+            random.Random(),
+            self.metrics,
+            self.new_log("ticket"),
         )
+        self.connect_control()
         self.api = CallerApi(
             settings,
             self.submissions,
@@ -89,6 +103,16 @@
             self.new_log("api"),
         )
 
+    def connect_control(self):
+        """Connect tickets, membership and the calls from peers."""
+        self.membership.tickets = self.tickets
+        self.membership.peer_port = lambda: self.peer_api.port
+        self.handlers.heartbeat = self.membership.on_heartbeat
+        calls = TicketCalls(self.tickets)
+        self.handlers.fetch_tickets = calls.on_fetch_tickets
+        self.handlers.fetch_state = calls.on_fetch_state
+        self.handlers.notify_ticket = calls.on_notify
+
     def job_finished(self, event):
         """Hand the outcome of a job to its submission."""
         self.submissions.finished(event)
@@ -103,6 +127,7 @@
             self.platform,
             self.upstreams,
             self.peers,
+            self.control,
             self.dispatch,
             self.submissions,
             self.membership,
@@ -114,6 +139,7 @@
     async def drain(self):
         """Take no new jobs and wait for those under way."""
         self.api.draining = True
+        self.membership.leaving = True
         self.log_line.info("draining")
         await asyncio.sleep(self.settings.drain.drain_notice_ms / 1000)
         self.submissions.accepting = False
