Split dispatch into queue, routing, guards, retries, admission and quotas

Cause: the first dispatcher took tasks in order of arrival, scanned all upstreams for each start, retried without bound and knew neither teams nor zones. The VM's zone is passed to the dispatcher. Ruled out: a scan over all upstreams for each start, since a service may have 1,800.

--- /dev/null
+++ b/packages/core/carobramp_core/dispatch/guards.py
@@ -0,0 +1,160 @@
+"""Guard (circuit breaker) of each upstream.
+
+Explanation
+===========
+
+A guard trips when tasks of two or more jobs failed, the ratio of failures is high,
+and it is significantly above that of the service's other upstreams. Jobs that fail
+everywhere raise the ratio of all upstreams and trip no guard.
+"""
+
+import dataclasses
+import enum
+import math
+
+from carobramp_schema.generated.ticket import GuardSettings
+
+MIN_JOBS = 2
+# With 3 standard deviations and a base ratio of 30%, runs of 4 failures among 4
+# tasks still tripped guards of good upstreams.
+SIGNIFICANCE = 3.5
+# Probability below which consecutive failures are not put down to chance.
+SUSPICION_CHANCE = 0.05
+WINDOW_PARTS = 2
+
+
+class GuardState(enum.StrEnum):
+    """State of a guard."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    PROBING = "probing"
+
+
+@dataclasses.dataclass(slots=True)
+class WindowCounts:
+    """Tasks and failures of the last window, in two rotating halves."""
+
+    tasks: list[int] = dataclasses.field(default_factory=lambda: [0, 0])
+    failures: list[int] = dataclasses.field(default_factory=lambda: [0, 0])
+    jobs: list[set] = dataclasses.field(default_factory=lambda: [set(), set()])
+    turned_at: float = 0.0
+
+    def add(self, failed, job, now, window_s):
+        """Count one task."""
+        self.turn(now, window_s)
+        self.tasks[0] += 1
+        if failed:
+            self.failures[0] += 1
+            if len(self.jobs[0]) < MIN_JOBS:
+                self.jobs[0].add(job)
+
+    def turn(self, now, window_s):
+        """Drop what is older than the window."""
+        halves = int((now - self.turned_at) * WINDOW_PARTS / window_s)
+        for _ in range(min(halves, WINDOW_PARTS)):
+            self.tasks = [0, self.tasks[0]]
+            self.failures = [0, self.failures[0]]
+            self.jobs = [set(), self.jobs[0]]
+        if halves:
+            self.turned_at = now
+
+    def clear(self):
+        """Forget everything."""
+        self.tasks, self.failures = [0, 0], [0, 0]
+        self.jobs = [set(), set()]
+
+
+def ratio_without(total: WindowCounts, own: WindowCounts) -> float:
+    """Return the smoothed failure ratio of the other upstreams."""
+    tasks = max(0, sum(total.tasks) - sum(own.tasks))
+    failures = max(0, sum(total.failures) - sum(own.failures))
+    return min(1.0, (failures + 0.5) / (tasks + 10))
+
+
+class Guard:
+    """Guard of one upstream.
+
+    Examples
+    ========
+
+    >>> guard, total = Guard(), WindowCounts()
+    >>> settings = GuardSettings()
+    >>> for task in range(3):
+    ...     total.add(True, f"job-{task}", 10.0, 10.0)
+    ...     tripped = guard.record(True, f"job-{task}", 9.9, 10.0, settings, total)
+    >>> tripped, guard.state(10.5), guard.state(11.5)
+    (True, <GuardState.OPEN: 'open'>, <GuardState.PROBING: 'probing'>)
+    """
+
+    __slots__ = ("counts", "opened", "open_until", "open_s", "failed_in_a_row")
+
+    def __init__(self):
+        self.counts = WindowCounts()
+        self.opened = False
+        self.open_until = -math.inf
+        self.open_s = 0.0
+        self.failed_in_a_row = 0
+
+    def state(self, now) -> GuardState:
+        """Return the state at `now`."""
+        if not self.opened:
+            return GuardState.CLOSED
+        return GuardState.OPEN if now < self.open_until else GuardState.PROBING
+
+    def suspected(self, total: WindowCounts) -> bool:
+        """Whether the last outcomes call for caution: one task at a time."""
+        if not self.failed_in_a_row:
+            return False
+        chance = ratio_without(total, self.counts)
+        return chance**self.failed_in_a_row < SUSPICION_CHANCE
+
+    def record(
+        self, failed, job, started, now, settings: GuardSettings, total: WindowCounts
+    ) -> bool:
+        """Take the outcome of a task; return whether the guard tripped.
+
+        `total` counts all tasks of the service, with this one.
+        """
+        self.counts.add(failed, job, now, settings.window_ms / 1000)
+        self.failed_in_a_row = self.failed_in_a_row + 1 if failed else 0
+        if self.opened:
+            return self.record_probe(failed, started, now, settings)
+        if not settings.enabled or not failed or not self.too_many(settings, total):
+            return False
+        self.trip(now, settings)
+        return True
+
+    def record_probe(self, failed, started, now, settings):
+        """Take the outcome of a task while open; only probes decide."""
+        if started < self.open_until:
+            return False
+        if failed and settings.enabled:
+            self.trip(now, settings)
+            return True
+        self.opened = False
+        self.counts.clear()
+        return False
+
+    def too_many(self, settings, total):
+        """Whether the failures in the window justify a trip."""
+        tasks, failures = sum(self.counts.tasks), sum(self.counts.failures)
+        if failures < settings.min_failures:
+            return False
+        if len(self.counts.jobs[0] | self.counts.jobs[1]) < MIN_JOBS:
+            return False
+        if failures * 100 < settings.failure_percent * tasks:
+            return False
+        usual = ratio_without(total, self.counts)
+        deviation = math.sqrt(tasks * usual * (1 - usual))
+        return failures > tasks * usual + SIGNIFICANCE * deviation
+
+    def trip(self, now, settings):
+        """Open; the open time doubles unless the last trip was long ago."""
+        recent = now < self.open_until + 2 * self.open_s + settings.window_ms / 1000
+        doubled = self.open_s * 2 if recent else 0.0
+        low, high = settings.open_min_ms / 1000, settings.open_max_ms / 1000
+        self.open_s = min(high, max(low, doubled))
+        self.open_until = now + self.open_s
+        self.opened = True
+        self.counts.clear()
--- /dev/null
+++ b/packages/core/carobramp_core/dispatch/jobs.py
@@ -0,0 +1,63 @@
+"""Progress of the jobs under way."""
+
+import dataclasses
+from typing import Any
+
+from carobramp_core.dispatch.messages import Job
+from carobramp_core.dispatch.quotas import TeamUse
+from carobramp_core.dispatch.upstreams import RunningTask
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class JobState:
+    """Progress of a job.
+
+    Attributes
+    ==========
+
+    expected_ms : expected run time of each task at speed 1
+    waiting : indexes of waiting tasks; the last one is started next
+    waiting_ms : sum of their expected run times
+    running : started tasks without outcome, by index
+    may_have_run : whether a task gave an outcome other than "not started"
+    tried : upstreams that did not start a task, by index
+    queued : whether the job is in its queue
+    rate : speed of the whole service when the job came
+    """
+
+    job: Job
+    pool: Any
+    queue: Any
+    team: TeamUse
+    expected_ms: list[float]
+    waiting: list[int]
+    waiting_ms: float
+    results: list[Any]
+    done: int = 0
+    running: dict[int, RunningTask] = dataclasses.field(default_factory=dict)
+    may_have_run: bool = False
+    tried: dict[int, set[str]] = dataclasses.field(default_factory=dict)
+    queued: bool = False
+    rate: float = 1.0
+    ended: bool = False
+
+    def not_run(self):
+        """Whether it is certain that no task started."""
+        return not self.may_have_run and not self.running
+
+
+def new_job_state(job: Job, pool, queue, team) -> JobState:
+    """Return the state of a job whose tasks all wait, longest first."""
+    runtimes = pool.runtimes(job.priority_class)
+    expected = [runtimes.expected_ms(ms) for ms in job.run_ms]
+    waiting = sorted(range(len(expected)), key=lambda i: (expected[i], -i))
+    return JobState(
+        job=job,
+        pool=pool,
+        queue=queue,
+        team=team,
+        expected_ms=expected,
+        waiting=waiting,
+        waiting_ms=sum(expected),
+        results=[None] * len(expected),
+    )
--- a/packages/core/carobramp_core/dispatch/messages.py
+++ b/packages/core/carobramp_core/dispatch/messages.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 from typing import Any
 
 from carobramp_core.outcomes import JobOutcome, Reason, RetryReason
@@ -159,7 +160,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartTask:
-    """Send a task to an upstream, once."""
+    """Send a task to an upstream, once, and not after `deadline`."""
 
     task_id: TaskId
     upstream: str
@@ -170,6 +171,7 @@
     payload: Any
     run_ms: float
     timeout: float
+    deadline: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/core/carobramp_core/dispatch/pool.py
@@ -0,0 +1,241 @@
+"""Upstreams of one service, grouped for cheap choices.
+
+Explanation
+===========
+
+A group keeps its upstreams with free slots in heaps by expected time for a unit of
+work, one heap for each reserve that some class has to keep free. Entries are
+renewed when an upstream changes and dropped lazily, so that a choice costs
+O(log n), also with 1,800 upstreams. `refresh` rebuilds the heaps now and then, as
+estimates decay with time.
+"""
+
+import bisect
+import heapq
+import itertools
+import math
+
+from carobramp_core.dispatch.guards import WindowCounts
+from carobramp_core.dispatch.queue import ServiceQueue
+from carobramp_core.dispatch.retries import RetryBudget
+from carobramp_core.dispatch.runtimes import RunTimes
+from carobramp_core.dispatch.upstreams import Upstream
+from carobramp_schema.generated.ticket import ServiceState
+
+VERSIONS = itertools.count(1)
+ZONE_FAILURES = 3
+ZONE_BACKOFF_MIN_S = 1.0
+ZONE_BACKOFF_MAX_S = 30.0
+
+
+class ZoneHealth:
+    """Connect failures of a whole availability zone.
+
+    When several upstreams of a zone in a row cannot be reached, the others are not
+    tried one by one: that would cost a retry for each.
+    """
+
+    __slots__ = ("failed", "until", "seconds")
+
+    def __init__(self):
+        self.failed: set[str] = set()
+        self.until = -math.inf
+        self.seconds = 0.0
+
+    def connect_failed(self, name, now):
+        """Note that an upstream of the zone could not be reached."""
+        self.failed.add(name)
+        if len(self.failed) >= ZONE_FAILURES and now >= self.until:
+            doubled = max(ZONE_BACKOFF_MIN_S, self.seconds * 2)
+            self.seconds = min(ZONE_BACKOFF_MAX_S, doubled)
+            self.until = now + self.seconds
+
+    def answered(self):
+        """Note that the zone can be reached."""
+        if self.failed:
+            self.failed.clear()
+        self.seconds = 0.0
+        self.until = -math.inf
+
+
+class Group:
+    """Upstreams of one service, either of the own zone or of all other zones."""
+
+    def __init__(self, totals: WindowCounts):
+        self.totals = totals
+        self.members: dict[str, Upstream] = {}
+        self.usable: list[Upstream] = []
+        self.heaps: dict[int, list] = {0: []}
+        self.reserves: dict[int, tuple[int, int]] = {0: (0, 0)}
+        self.slowness: list[float] = []
+        self.rates: list[float] = []
+        self.rate = 0.0
+        self.top_speed = 0.0
+        self.zones: dict[str, ZoneHealth] = {}
+
+    def reachable(self, upstream: Upstream, now):
+        """Whether the zone of an upstream is not backed off."""
+        health = self.zones.get(upstream.state.availability_zone)
+        return health is None or now >= health.until
+
+    def connect_failed(self, upstream: Upstream, now):
+        """Note that an upstream could not be reached."""
+        zone = upstream.state.availability_zone
+        if not upstream.near:
+            self.zones.setdefault(zone, ZoneHealth()).connect_failed(upstream.name, now)
+
+    def answered(self, upstream: Upstream):
+        """Note that an upstream could be reached."""
+        health = self.zones.get(upstream.state.availability_zone)
+        if health is not None:
+            health.answered()
+
+    def set_reserves(self, percents):
+        """Take the reserves, in percent, that classes have to keep free."""
+        self.heaps = {percent: [] for percent in {0, *percents}}
+
+    def refresh(self, now):
+        """Rank the usable upstreams by speed and rebuild the heaps."""
+        usable = [u for u in self.members.values() if u.usable(now)]
+        self.usable = [u for u in usable if self.reachable(u, now)]
+        self.usable.sort(key=lambda upstream: -upstream.speed)
+        for rank, upstream in enumerate(self.usable):
+            upstream.rank = rank
+        self.sum_rates(now)
+        self.divide_reserves()
+        for heap in self.heaps.values():
+            heap.clear()
+        for upstream in self.usable:
+            self.push(upstream, now)
+
+    def sum_rates(self, now):
+        """Sum up how much work per unit of time this VM can place."""
+        self.slowness, self.rates, total = [], [], 0.0
+        for upstream in self.usable:
+            room = max(0, upstream.capacity(now))
+            total += room * upstream.speed
+            self.slowness.append(-upstream.speed)
+            self.rates.append(total)
+        self.rate = total
+        self.top_speed = self.usable[0].speed if self.usable else 0.0
+
+    def divide_reserves(self):
+        """Divide each reserve among the upstreams, the fastest first."""
+        slots = sum(upstream.slots() for upstream in self.usable)
+        count = max(1, len(self.usable))
+        for percent in self.heaps:
+            reserved = math.ceil(slots * percent / 100)
+            self.reserves[percent] = divmod(reserved, count)
+
+    def reserve(self, upstream: Upstream, percent):
+        """Return the slots of an upstream that a class has to keep free."""
+        each, rest = self.reserves.get(percent, (0, 0))
+        return each + (upstream.rank < rest)
+
+    def room(self, upstream: Upstream, percent, now):
+        """Return how many more tasks of a class may be started at an upstream."""
+        if upstream.name not in self.members or not self.reachable(upstream, now):
+            return 0
+        return upstream.room(now, self.totals, self.reserve(upstream, percent))
+
+    def push(self, upstream: Upstream, now):
+        """Renew the entries of an upstream after a change."""
+        upstream.version = version = next(VERSIONS)
+        score = upstream.score(now, self.totals)
+        for percent, heap in self.heaps.items():
+            if self.room(upstream, percent, now) > 0:
+                heapq.heappush(heap, (score, version, upstream))
+
+    def pick(self, percent, now, exclude=()) -> Upstream | None:
+        """Return the best upstream with a free slot, or None."""
+        heap = self.heaps.get(percent)
+        if heap is None:
+            heap = self.heaps[0]
+        skipped, found = [], None
+        while heap:
+            entry = heap[0]
+            upstream = entry[2]
+            if upstream.version == entry[1] and self.room(upstream, percent, now) > 0:
+                if upstream.name not in exclude:
+                    found = upstream
+                    break
+                skipped.append(entry)
+            heapq.heappop(heap)
+        for entry in skipped:
+            heapq.heappush(heap, entry)
+        return found
+
+    def rate_above(self, speed):
+        """Return the part of `rate` of upstreams faster than `speed`."""
+        index = bisect.bisect_left(self.slowness, -speed)
+        return self.rates[index - 1] if index else 0.0
+
+    def mean_speed(self):
+        """Return the mean speed of what this VM can place."""
+        if not self.usable:
+            return 1.0
+        return sum(upstream.speed for upstream in self.usable) / len(self.usable)
+
+
+class ServicePool:
+    """One service: its upstreams, queue, budgets and learned run times."""
+
+    def __init__(self, name, state: ServiceState):
+        self.name = name
+        self.queue = ServiceQueue(name)
+        self.totals = WindowCounts()
+        self.near = Group(self.totals)
+        self.far = Group(self.totals)
+        self.budget = RetryBudget()
+        self.times: dict[str, RunTimes] = {}
+        self.refreshed_at = -math.inf
+        self.far_refreshed_at = -math.inf
+        self.turn = 0
+        self.set_state(state)
+
+    def set_state(self, state: ServiceState):
+        """Take the state of a ticket."""
+        self.state = state
+        self.queue.set_classes(state.classes)
+        percents = [queue.reserve_percent for queue in self.queue.classes.values()]
+        self.near.set_reserves(percents)
+        self.far.set_reserves(percents)
+
+    def runtimes(self, class_name) -> RunTimes:
+        """Return the learned run times of a class."""
+        times = self.times.get(class_name)
+        if times is None:
+            times = self.times[class_name] = RunTimes(self.state.expected_run_ms)
+        return times
+
+    def group(self, upstream: Upstream) -> Group:
+        """Return the group of an upstream."""
+        return self.near if upstream.near else self.far
+
+    def rate(self):
+        """Return the work per unit of time that this VM can place."""
+        return self.near.rate + self.far.rate
+
+    def members(self):
+        """Yield the upstreams of the service."""
+        yield from self.near.members.values()
+        yield from self.far.members.values()
+
+    def normalize_speeds(self):
+        """Keep the median of the measured speeds at the median of the hints.
+
+        Speeds and run times are learned from the same measurements; without an
+        anchor, both would drift together.
+        """
+        measured = [u for u in self.members() if u.speed_samples > 1]
+        if not measured:
+            return
+        drift = _median([u.speed_log for u in measured])
+        drift -= _median([u.hint for u in measured])
+        for upstream in measured:
+            upstream.speed_log -= drift
+
+
+def _median(values):
+    values.sort()
+    return values[len(values) // 2]
--- a/packages/daemon/carobramp_daemon/daemon.py
+++ b/packages/daemon/carobramp_daemon/daemon.py
@@ -55,7 +55,7 @@
             self.new_log("membership"),
         )
         self.dispatch = DispatchService(
-            settings.dispatch, self.upstreams, self.job_finished, self.metrics
+            settings, self.upstreams, self.job_finished, self.metrics
         )
         self.submissions = SubmissionService(
             settings, issuer, self.dispatch, self.metrics, self.new_log("submission")
--- a/packages/daemon/carobramp_daemon/dispatch.py
+++ b/packages/daemon/carobramp_daemon/dispatch.py
@@ -16,7 +16,7 @@
     StartTask,
     Tick,
 )
-from carobramp_schema.generated.settings import DispatchSettings
+from carobramp_schema.generated.settings import Settings
 
 
 class DispatchService(Service):
@@ -25,16 +25,19 @@
     Parameters
     ==========
 
-    settings : dispatch settings
+    settings : settings of the daemon
     upstreams : client that carries out `StartTask` and `CancelTask`
     on_finished : called with each `JobFinished`
     metrics : metrics of the daemon
     """
 
-    def __init__(self, settings: DispatchSettings, upstreams, on_finished, metrics):
+    def __init__(self, settings: Settings, upstreams, on_finished, metrics):
         super().__init__()
-        rng = random.Random(settings.seed or None)
-        self.dispatcher = Dispatcher(settings, rng)
+        rng = random.Random(settings.dispatch.seed or None)
+        vm = settings.vm
+        self.dispatcher = Dispatcher(
+            settings.dispatch, rng, vm.availability_zone, vm.name
+        )
         self.upstreams = upstreams
         self.on_finished = on_finished
         self.metrics = metrics
