--- a/packages/core/carobramp_core/dispatch/engine.py
+++ b/packages/core/carobramp_core/dispatch/engine.py
@@ -157,13 +157,14 @@
             if queue is None:
                 return
             job = queue.peek(lambda use: self.quotas.has_room(use, now))
-            upstream = None
-            if job is not None:
-                upstream = choose(pool, self.choice(job), now, self.rng)
+            if job is None:
+                blocked.add(queue.name)
+                continue
+            upstream = choose(pool, self.choice(job), now, self.rng)
             if upstream is None:
                 blocked.add(queue.name)
-            else:
-                self.start(job, queue.take(job), upstream, now, effects)
+                continue
+            self.start(job, queue.take(job), upstream, now, effects)
 
     def choice(self, job: JobState):
         """Return what the routing policy decides on for a job's next task."""
--- a/packages/core/carobramp_core/dispatch/quotas.py
+++ b/packages/core/carobramp_core/dispatch/quotas.py
@@ -71,9 +71,7 @@
         for use in self.teams.values():
             use.peer_running = use.peer_demand = 0
         for load in peers.loads:
-            use = self.teams.get(load.team)
-            if use is None:
-                use = self.teams[load.team] = TeamUse(load.team, 1)
+            use = self.teams.setdefault(load.team, TeamUse(load.team, 1))
             use.peer_running += load.running
             use.peer_demand += load.running + load.waiting
 
--- a/packages/core/carobramp_core/dispatch/upstreams.py
+++ b/packages/core/carobramp_core/dispatch/upstreams.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+from typing import Any
 
 from carobramp_core.dispatch.guards import Guard, GuardState
 from carobramp_core.dispatch.messages import TaskId, UpstreamReport
@@ -43,10 +44,10 @@
     expected_s: float
     timeout: float
     straggler_s: float
-    team: object
-    runtimes: object
+    team: Any
+    runtimes: Any
     declared_ms: float
-    job: object = None
+    job: Any = None
     cancelled: bool = False
 
     def remaining_s(self, now):
--- /dev/null
+++ b/packages/testing/carobramp_testing/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks."""
