Wait for a faster upstream only for twice the time

Cause: holding tasks for faster upstreams whose slots other VMs take made waits longer than expected. Change: HOLD_ADVANTAGE 1.1 to 2.0; the rate counts own running tasks only; half-life of the estimate of other VMs' tasks 1 s to 2 s.

--- a/packages/core/carobramp_core/dispatch/pool.py
+++ b/packages/core/carobramp_core/dispatch/pool.py
@@ -111,12 +111,12 @@
     def sum_rates(self, now):
         """Sum up how much work per unit of time this VM can place."""
         self.slowness, self.rates, total = [], [], 0.0
+        self.rate = 0.0
         for upstream in self.usable:
-            room = max(0, upstream.capacity(now))
-            total += room * upstream.speed
+            self.rate += max(0, upstream.capacity(now)) * upstream.speed
+            total += len(upstream.running) * upstream.speed
             self.slowness.append(-upstream.speed)
             self.rates.append(total)
-        self.rate = total
         self.top_speed = self.usable[0].speed if self.usable else 0.0
 
     def divide_reserves(self):
@@ -166,7 +166,10 @@
         return found
 
     def rate_above(self, speed):
-        """Return the part of `rate` of upstreams faster than `speed`."""
+        """Return the rate at which own tasks end at upstreams faster than `speed`.
+
+        Slots that other VMs free are seen too late to be waited for.
+        """
         index = bisect.bisect_left(self.slowness, -speed)
         return self.rates[index - 1] if index else 0.0
 
--- a/packages/core/carobramp_core/dispatch/routing.py
+++ b/packages/core/carobramp_core/dispatch/routing.py
@@ -20,8 +20,10 @@
 # A faster upstream is waited for only when it is clearly faster; learned speeds
 # vary by a few percent.
 FASTER = 1.15
-# Expected advantage of waiting, relative to starting now, from which it pays.
-HOLD_ADVANTAGE = 1.1
+# Expected advantage of waiting, relative to starting now, from which it pays. With
+# 1.1, the simulated mean ratio at 70% load was 0.92 instead of 0.80 with 2: the
+# expected wait leaves out what other VMs start meanwhile.
+HOLD_ADVANTAGE = 2.0
 RANDOM_TRIES = 4
 
 
--- a/packages/core/carobramp_core/dispatch/upstreams.py
+++ b/packages/core/carobramp_core/dispatch/upstreams.py
@@ -8,7 +8,9 @@
 from carobramp_core.dispatch.messages import TaskId, UpstreamReport
 from carobramp_schema.generated.ticket import UpstreamState
 
-OTHERS_HALF_LIFE_S = 1.0
+# Forgetting other VMs' tasks sooner (0.2 s) raised the simulated mean ratio at 90%
+# load by a sixth, as tasks then queue at the upstream.
+OTHERS_HALF_LIFE_S = 2.0
 # Weight of a report in the estimate of other VMs' tasks; a single report misses
 # tasks that are on their way.
 REPORT_WEIGHT = 0.5
