--- a/packages/daemon/carobramp_daemon/daemon.py
+++ b/packages/daemon/carobramp_daemon/daemon.py
@@ -54,7 +54,7 @@
         self.peers = PeerClients(settings, self.metrics, self.new_log("peer"))
         self.control = PeerClients(settings, self.metrics, self.new_log("peer"))
         self.dispatch = DispatchService(
-            settings.dispatch, self.upstreams, self.job_finished, self.metrics
+            settings, self.upstreams, self.job_finished, self.metrics
         )
         self.membership = MembershipService(
             settings,
