--- a/packages/daemon/carobramp_daemon/main.py
+++ b/packages/daemon/carobramp_daemon/main.py
@@ -4,26 +4,42 @@
 import logging
 import sys
 
-from absl import app, flags
+from absl import flags
 
 from carobramp_daemon.daemon import run_daemon
 from carobramp_daemon.logs import log_to_stderr
-from carobramp_daemon.settings import load_settings
-from carobramp_schema import InvalidInput
+from carobramp_schema.settings import load_settings
 
-FLAGS = flags.FLAGS
-EXIT_SETTINGS = 2
+EXIT_INVALID = 2
+USAGE = "usage: carobrampd --settings=FILE [--check]"
 
-flags.DEFINE_string("settings", None, "Settings file, JSON with comments.")
-flags.DEFINE_bool("check", False, "Check the settings file and exit.")
+# Values of their own, so that the module can be imported next to other commands.
+FLAGS = flags.FlagValues()
+flags.DEFINE_string(
+    "settings", None, "Settings file, JSON with comments.", flag_values=FLAGS
+)
+flags.DEFINE_bool(
+    "check", False, "Check the settings file and exit.", flag_values=FLAGS
+)
+flags.DEFINE_bool("help", False, "Print this help.", flag_values=FLAGS)
 
 
 def main(argv):
-    """Run the daemon with the settings of `--settings`."""
+    """Run the daemon with the settings of `--settings`; return the exit status."""
+    try:
+        rest = FLAGS(argv)[1:]
+    except flags.Error as error:
+        return fail(str(error))
+    if FLAGS.help:
+        print(f"{USAGE}\n{FLAGS.get_help()}")
+        return 0
+    if rest or not FLAGS.settings:
+        return fail(USAGE)
     settings = load_settings(FLAGS.settings)
-    if isinstance(settings, InvalidInput):
-        print(f"carobrampd: {FLAGS.settings}: {settings}", file=sys.stderr)
-        return EXIT_SETTINGS
+    if isinstance(settings, list):
+        for fault in settings:
+            fail(f"{FLAGS.settings}: {fault}")
+        return EXIT_INVALID
     if FLAGS.check:
         return 0
     log_to_stderr()
@@ -32,10 +48,15 @@
     return 0
 
 
+def fail(detail):
+    """Print one line about a fault and return the exit status."""
+    print("carobrampd:", " ".join(detail.split()), file=sys.stderr)
+    return EXIT_INVALID
+
+
 def run():
     """Entry point of the `carobrampd` binary."""
-    flags.mark_flag_as_required("settings")
-    app.run(main)
+    sys.exit(main(sys.argv))
 
 
 if __name__ == "__main__":
--- a/packages/schema/carobramp_schema/decode.py
+++ b/packages/schema/carobramp_schema/decode.py
@@ -95,19 +95,22 @@
     what = match["what"]
     path = match["path"] or "$"
     if unknown := _UNKNOWN.match(what):
-        return _unknown_field(path, unknown["name"], kind)
+        name = unknown["name"]
+        return unknown_field(path, name, _field_names(kind, path))
     if missing := _MISSING.match(what):
         return InvalidInput(f"{path}.{missing['name']}", "a value", "nothing")
     expected = what.removeprefix("Expected ").split(", got ")[0]
     return InvalidInput(path, expected, _seen(value, path))
 
 
-def _unknown_field(path, name, kind):
+def unknown_field(path, name, known):
+    """Return the fault for a field that is not among the `known` names."""
     expected = "a known field"
-    nearest = difflib.get_close_matches(name, _field_names(kind, path), 1, 0.5)
+    nearest = difflib.get_close_matches(name, known, 1, 0.5)
     if nearest:
         expected += f" (nearest is `{nearest[0]}`)"
-    return InvalidInput(f"{path}.{name}", expected, f"`{_shorten(name)}`")
+    name = _shorten(name)
+    return InvalidInput(f"{path}.{name}", expected, f"`{name}`")
 
 
 def _seen(value, path):
