--- a/packages/cli/carobramp_cli/main.py
+++ b/packages/cli/carobramp_cli/main.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import sys
 
 from absl import flags
@@ -64,6 +65,8 @@
             return fail(Exit.INVALID, f"usage: {usage_line(names, parameters)}")
         if bad := [url for url in FLAGS.url if not is_url(url)]:
             return fail(Exit.INVALID, f"--url: expected an http URL, saw {bad[0]!r}")
+        if math.isnan(FLAGS.timeout):
+            return fail(Exit.INVALID, "--timeout: expected a number, saw nan")
         if FLAGS.id and names != ("job", "submit"):
             return fail(Exit.INVALID, "--id goes with `job submit` only")
         options = Options(tuple(FLAGS.url), FLAGS.timeout, FLAGS.json, FLAGS.id)
--- a/packages/daemon/carobramp_daemon/api.py
+++ b/packages/daemon/carobramp_daemon/api.py
@@ -7,6 +7,8 @@
 from mode import Service
 
 from carobramp_core.outcomes import JobDone, JobFailed, JobRefused, Reason
+from carobramp_daemon.middleware import ActiveRequests, render_errors
+from carobramp_daemon.operator import OperatorApi
 from carobramp_daemon.problems import problem, problem_response
 from carobramp_daemon.submission import Reply, Submission
 from carobramp_schema import InvalidInput, decode, encode
@@ -20,6 +22,8 @@
 
 JSON = "application/json"
 SUBMISSION_HEADER = "Idempotency-Key"
+# Longest wait, when the daemon stops, for a caller that reads its answer slowly.
+ANSWER_WRITE_S = 60.0
 
 
 class CallerApi(Service):
@@ -36,23 +40,30 @@
         self.accepting = True
         self.port = 0
         self.runner = None
+        self.operator: OperatorApi | None = None
+        self.active = ActiveRequests(self)
 
     async def on_start(self):
         """Listen for callers."""
-        app = web.Application(client_max_size=self.settings.limits.max_body_bytes)
+        app = web.Application(
+            client_max_size=self.settings.limits.max_body_bytes,
+            middlewares=[self.active.track, render_errors],
+        )
         app.router.add_post("/v1/submission-ids", self.issue_ids)
         app.router.add_post("/v1/jobs", self.submit_job)
         app.router.add_delete("/v1/jobs/{submission_id}", self.cancel_job)
         app.router.add_get("/healthz", self.health)
         app.router.add_get("/readyz", self.readiness)
-        app.router.add_get("/v1/status", self.status)
         app.router.add_get("/metrics", self.show_metrics)
         self.tickets.add_routes(app.router)
+        if self.operator is not None:
+            self.operator.add_routes(app.router)
         self.runner = web.AppRunner(
             app,
             access_log=None,
             max_field_size=self.settings.limits.max_header_bytes,
             handler_cancellation=True,
+            shutdown_timeout=ANSWER_WRITE_S,
         )
         await self.runner.setup()
         vm = self.settings.vm
@@ -130,17 +141,6 @@
             return web.Response(status=503, text=f"{self.tickets.not_ready_reason}\n")
         return web.Response(text="ready\n")
 
-    async def status(self, request):
-        """State of this VM."""
-        body = {
-            "vm": self.settings.vm.name,
-            "availability_zone": self.settings.vm.availability_zone,
-            "ready": self.tickets.ready and not self.draining,
-            "state_number": self.tickets.in_force.number,
-            "jobs": len(self.submissions.records),
-        }
-        return web.Response(body=encode(body), content_type=JSON)
-
     async def show_metrics(self, request):
         """Metrics in the text exposition format."""
         return web.Response(text=self.metrics.exposition())
--- a/packages/daemon/carobramp_daemon/daemon.py
+++ b/packages/daemon/carobramp_daemon/daemon.py
@@ -9,9 +9,11 @@
 from carobramp_core.submission.ids import IdIssuer
 from carobramp_daemon.api import CallerApi
 from carobramp_daemon.dispatch import DispatchService
+from carobramp_daemon.drain import Drain
 from carobramp_daemon.logs import Log
 from carobramp_daemon.membership import MembershipService
 from carobramp_daemon.metrics import Metrics
+from carobramp_daemon.operator import OperatorApi
 from carobramp_daemon.peers import PeerApi, PeerClients, PeerHandlers
 from carobramp_daemon.platform import PlatformClient
 from carobramp_daemon.submission import SubmissionService
@@ -21,7 +23,7 @@
 
 INCARNATION_BYTES = 8
 KEY_BYTES = 16
-DRAIN_POLL_S = 0.05
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 class Daemon(Service):
@@ -66,6 +68,17 @@
         self.api = CallerApi(
             settings, self.submissions, self.tickets, self.metrics, self.new_log("api")
         )
+        self.submissions.accepts_new = lambda: self.api.accepting
+        self.drain = Drain(settings, self.api, self.active, self.log_line)
+        self.api.operator = OperatorApi(
+            settings,
+            self.incarnation,
+            self.api,
+            self.tickets,
+            self.membership,
+            self.dispatch,
+            self.drain,
+        )
 
     def job_finished(self, event):
         """Hand the outcome of a job to its submission."""
@@ -89,30 +102,23 @@
             self.api,
         ]
 
-    async def drain(self):
-        """Take no new jobs and wait for those under way."""
-        self.api.draining = True
-        self.log_line.info("draining")
-        await asyncio.sleep(self.settings.drain.drain_notice_ms / 1000)
-        self.api.accepting = False
-        try:
-            async with asyncio.timeout(self.settings.drain.drain_max_ms / 1000):
-                while self.dispatch.dispatcher.jobs:
-                    await asyncio.sleep(DRAIN_POLL_S)
-        except TimeoutError:
-            self.log_line.info("drain took too long")
+    def active(self):
+        """Return the number of jobs, requests and peer calls under way."""
+        jobs = len(self.dispatch.dispatcher.jobs)
+        return jobs + self.api.active.count + self.peer_api.active
 
 
 async def run_daemon(settings: Settings):
-    """Run the daemon until SIGTERM or SIGINT, then drain and stop it."""
+    """Run the daemon until a stop is asked for, then drain and stop it."""
     daemon = Daemon(settings)
-    stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+    for number in STOP_SIGNALS:
+        loop.add_signal_handler(number, daemon.drain.request, number.name)
     await daemon.start()
     for port in (daemon.api.port, daemon.peer_api.port):
         print(f"listening {settings.vm.host} {port}", flush=True)
-    await stop.wait()
-    await daemon.drain()
+    await daemon.drain.run()
     await daemon.stop()
+    # The event loop restores the default actions when it closes; a signal after
+    # that would end the process with the status of a kill.
+    signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
--- a/packages/daemon/carobramp_daemon/peers.py
+++ b/packages/daemon/carobramp_daemon/peers.py
@@ -53,6 +53,7 @@
         self.log_line = log
         self.server: Server
         self.port = 0
+        self.active = 0
 
     async def on_start(self):
         """Listen for other entry VMs."""
@@ -70,9 +71,13 @@
     async def answer(self, stream, call, handler):
         """Answer one unary call by its handler."""
         request = await stream.recv_message()
-        reply = await handler(request)
-        self.count(call, request, reply)
-        await stream.send_message(reply)
+        self.active += 1
+        try:
+            reply = await handler(request)
+            self.count(call, request, reply)
+            await stream.send_message(reply)
+        finally:
+            self.active -= 1
 
     def count(self, call, *messages):
         """Count messages and their bytes."""
--- a/packages/daemon/carobramp_daemon/problems.py
+++ b/packages/daemon/carobramp_daemon/problems.py
@@ -45,7 +45,7 @@
 }
 
 
-def problem(reason, detail, *, not_run=False, submission_id="", invalid=None):
+def problem(reason, detail, *, not_run=False, submission_id="", invalid=None, status=0):
     """Build problem details.
 
     Parameters
@@ -56,12 +56,13 @@
     not_run : whether it is certain and final that no task of the submission ran
     submission_id : id of the submission, when known
     invalid : `InvalidInput` for malformed input
+    status : HTTP status code; 0 for the usual one of the reason
     """
     invalid = invalid or InvalidInput("", "", "")
     return Problem(
         type=PROBLEM_TYPE + reason.value,
         title=reason.value.replace("_", " "),
-        status=STATUS[reason],
+        status=status or STATUS[reason],
         detail=detail,
         reason=reason.value,
         not_run=not_run,
--- a/packages/daemon/carobramp_daemon/submission.py
+++ b/packages/daemon/carobramp_daemon/submission.py
@@ -65,6 +65,8 @@
         self.log_line = log
         self.dispatch = dispatch
         self.records: dict[str, Record] = {}
+        # Whether new jobs may start here, as the drain sets it.
+        self.accepts_new = lambda: True
 
     def issue(self, count):
         """Return new submission ids."""
@@ -82,7 +84,11 @@
         record = self.records.get(key)
         if record is None:
             record = self.records[key] = Record(digest, [])
-            self.start_job(key, submission)
+            if self.accepts_new():
+                self.start_job(key, submission)
+            else:
+                stopping = JobRefused(Reason.DRAINING, "this VM is stopping")
+                record.reply = Reply(key, stopping, not_run=True)
         if record.digest != digest:
             return Reply(key, JobRefused(Reason.SUBMISSION_CONFLICT, "other body"))
         if record.reply is not None:
