--- a/packages/schema/carobramp_schema/files.py
+++ b/packages/schema/carobramp_schema/files.py
@@ -112,7 +112,8 @@
     while isinstance(node, msgspec.inspect.Metadata):
         node = node.type
     if isinstance(node, msgspec.inspect.UnionType):
-        structs = [t for t in node.types if hasattr(t, "cls")]
+        inner = [_plain(member) for member in node.types]
+        structs = [t for t in inner if isinstance(t, msgspec.inspect.StructType)]
         return structs[0] if structs else node
     return node
 
--- a/packages/schema/carobramp_schema/generate.py
+++ b/packages/schema/carobramp_schema/generate.py
@@ -1,7 +1,7 @@
-"""Writes the generated modules from the schema definitions.
+"""Writes the generated modules and docs/settings.md from the schema definitions.
 
 Run as ``python -m carobramp_schema.generate [--check]``. With ``--check`` it
-writes nothing and fails when a committed module is not current.
+writes nothing and fails when a committed file is not current.
 """
 
 import argparse
@@ -22,6 +22,8 @@
     generate,
 )
 
+from carobramp_schema import settings_page
+
 PACKAGE = pathlib.Path(__file__).parent
 DEFINITIONS = PACKAGE / "definitions"
 GENERATED = PACKAGE / "generated"
@@ -135,11 +137,14 @@
     parser.add_argument("--check", action="store_true", help="only compare")
     if not parser.parse_args().check:
         generate_all(GENERATED)
+        settings_page.write_page()
         return
     with tempfile.TemporaryDirectory(dir=PACKAGE.parents[2]) as folder:
         target = pathlib.Path(folder)
         generate_all(target)
         stale = stale_modules(target)
+    if settings_page.page_is_stale():
+        stale.append("docs/settings.md")
     if stale:
         raise SystemExit(f"not current, run `make generate`: {', '.join(stale)}")
 
