Check every reply of the platform

A malformed reply raised KeyError or TypeError inside the service that made the call. Replies are now read up to 64 MiB, decoded into checked classes and compared with what was asked for; anything else is Unavailable, perhaps applied. Redirects are not followed, since following a 307 sends a POST again.

--- a/packages/daemon/carobramp_daemon/platform.py
+++ b/packages/daemon/carobramp_daemon/platform.py
@@ -6,21 +6,14 @@
 import aiohttp
 from mode import Service
 
-from carobramp_core.platform import (
-    Committed,
-    Conflict,
-    LeaseHeld,
-    Row,
-    Transaction,
-    Unavailable,
-    VmEntry,
-)
+from carobramp_core.platform import Transaction, Unavailable
+from carobramp_daemon import platform_replies as replies
+from carobramp_schema import InvalidInput
 from carobramp_schema.generated.settings import PlatformSettings
 
 HTTP_OK = 200
-HTTP_CONFLICT = 409
-HTTP_NOT_FOUND = 404
 MAX_REPLY_BYTES = 64 << 20
+READ_CHUNK_BYTES = 1 << 16
 
 
 class PlatformClient(Service):
@@ -53,88 +46,119 @@
             "conditions": [[c.key, c.version] for c in transaction.conditions],
             "writes": [[w.key, _to_text(w.value)] for w in transaction.writes],
         }
-        reply = await self._call("table/transact", body, purpose)
-        if isinstance(reply, Unavailable):
-            return reply
-        if reply["committed"]:
-            return Committed()
-        return Conflict(_rows(reply["rows"]))
+        return await self._call(
+            "table/transact",
+            body,
+            purpose,
+            replies.TransactReply,
+            replies.transact_outcome,
+        )
 
     async def read(self, keys, purpose):
         """Return the existing rows among `keys`."""
-        reply = await self._call("table/read", {"keys": list(keys)}, purpose)
-        return reply if isinstance(reply, Unavailable) else _rows(reply["rows"])
+        keys = list(keys)
+        return await self._call(
+            "table/read",
+            {"keys": keys},
+            purpose,
+            replies.RowsReply,
+            lambda reply: replies.asked_rows(reply, keys),
+        )
 
     async def scan(self, prefix, after, limit, purpose):
         """Return up to `limit` rows with `prefix` and a key above `after`."""
-        body = {"prefix": prefix, "after": after, "limit": limit}
-        reply = await self._call("table/scan", body, purpose)
-        return reply if isinstance(reply, Unavailable) else _rows(reply["rows"])
+        return await self._call(
+            "table/scan",
+            {"prefix": prefix, "after": after, "limit": limit},
+            purpose,
+            replies.RowsReply,
+            lambda reply: replies.scanned_rows(reply, prefix, after, limit),
+        )
 
     async def put(self, key, data, purpose):
         """Store an object."""
         body = {"key": key, "data": _to_text(data)}
-        reply = await self._call("objects/put", body, purpose)
-        return reply if isinstance(reply, Unavailable) else None
+        return await self._call(
+            "objects/put", body, purpose, replies.Nothing, lambda reply: None
+        )
 
     async def get(self, key, purpose):
         """Return an object, or None when there is none."""
-        reply = await self._call("objects/get", {"key": key}, purpose)
-        if isinstance(reply, Unavailable):
-            return reply
-        return _from_text(reply["data"])
+        return await self._call(
+            "objects/get",
+            {"key": key},
+            purpose,
+            replies.DataReply,
+            lambda reply: reply.data,
+        )
 
     async def list_vms(self, purpose):
         """Return the VMs that the platform knows."""
-        reply = await self._call("members/list", {}, purpose)
-        if isinstance(reply, Unavailable):
-            return reply
-        return tuple(VmEntry(**entry) for entry in reply["vms"])
+        return await self._call(
+            "members/list", {}, purpose, replies.VmsReply, replies.vm_entries
+        )
 
     async def acquire(self, name, holder, seconds, purpose):
         """Take or renew a lease."""
         body = {"name": name, "holder": holder, "seconds": seconds}
-        reply = await self._call("leases/acquire", body, purpose)
-        if isinstance(reply, Unavailable):
-            return reply
-        return LeaseHeld(reply["holder"], reply["seconds"])
+        return await self._call(
+            "leases/acquire", body, purpose, replies.LeaseReply, replies.lease_held
+        )
 
     async def release(self, name, holder, purpose):
         """Give a lease up."""
         body = {"name": name, "holder": holder}
-        reply = await self._call("leases/release", body, purpose)
-        return reply if isinstance(reply, Unavailable) else None
+        return await self._call(
+            "leases/release", body, purpose, replies.Nothing, lambda reply: None
+        )
 
-    async def _call(self, path, body, purpose):
+    async def _call(self, path, body, purpose, kind, interpret):
+        """Send one call and return what `interpret` makes of its checked reply."""
         self.metrics.count("platform_calls", purpose)
         async with self.slots:
-            reply = await self._post(path, body)
-        if isinstance(reply, Unavailable):
+            result = await self._post(path, body)
+        if not isinstance(result, Unavailable):
+            result = _checked(result, kind, interpret)
+        if isinstance(result, Unavailable):
             self.metrics.count("platform_failures", purpose)
-            self.log_line.info("call failed", purpose=purpose, detail=reply.detail)
-        return reply
+            self.log_line.info("call failed", purpose=purpose, detail=result.detail)
+        return result
 
     async def _post(self, path, body):
         url = f"{self.settings.url}/{path}"
         try:
-            async with self.session.post(url, json=body) as response:
+            async with self.session.post(
+                url, json=body, allow_redirects=False
+            ) as response:
                 if response.status != HTTP_OK:
                     detail = f"status {response.status}"
                     return Unavailable(detail, maybe_applied=True)
-                return await response.json()
+                return await _read_bounded(response)
         except aiohttp.ClientConnectorError as error:
             return Unavailable(str(error), maybe_applied=False)
-        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+        except (aiohttp.ClientError, OSError, ValueError) as error:
             return Unavailable(repr(error), maybe_applied=True)
 
 
-def _to_text(value):
-    return None if value is None else base64.b64encode(value).decode()
+async def _read_bounded(response):
+    data = bytearray()
+    async for chunk in response.content.iter_chunked(READ_CHUNK_BYTES):
+        data += chunk
+        if len(data) > MAX_REPLY_BYTES:
+            response.close()
+            detail = f"the reply is over {MAX_REPLY_BYTES} bytes"
+            return Unavailable(detail, maybe_applied=True)
+    return bytes(data)
 
 
-def _from_text(text):
-    return None if text is None else base64.b64decode(text)
+def _checked(data, kind, interpret):
+    reply = replies.read_reply(data, kind)
+    if not isinstance(reply, InvalidInput):
+        reply = interpret(reply)
+    if isinstance(reply, InvalidInput):
+        return Unavailable(f"malformed reply: {reply}", maybe_applied=True)
+    return reply
 
 
-def _rows(rows):
-    return tuple(Row(key, _from_text(value), version) for key, value, version in rows)
+def _to_text(value):
+    return None if value is None else base64.b64encode(value).decode()
--- /dev/null
+++ b/packages/daemon/carobramp_daemon/platform_replies.py
@@ -0,0 +1,130 @@
+"""Checked replies of the platform's services.
+
+Unknown fields are ignored, since the platform may add some.
+"""
+
+import ipaddress
+from typing import Annotated
+
+import msgspec
+
+from carobramp_core.platform import (
+    Committed,
+    Conflict,
+    LeaseHeld,
+    Row,
+    VmEntry,
+)
+from carobramp_schema import InvalidInput, decode
+
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+Version = Annotated[int, msgspec.Meta(ge=1)]
+RowReply = tuple[Name, bytes, Version]
+MAX_LISTED_VMS = 4096
+
+
+class Nothing(msgspec.Struct, frozen=True):
+    """Reply without content."""
+
+
+class TransactReply(msgspec.Struct, frozen=True):
+    """Reply of `table/transact`."""
+
+    committed: bool
+    rows: tuple[RowReply, ...] = ()
+
+
+class RowsReply(msgspec.Struct, frozen=True):
+    """Reply of `table/read` and `table/scan`."""
+
+    rows: tuple[RowReply, ...]
+
+
+class DataReply(msgspec.Struct, frozen=True):
+    """Reply of `objects/get`."""
+
+    data: bytes | None
+
+
+class VmReply(msgspec.Struct, frozen=True):
+    """Entry of the membership list."""
+
+    name: Name
+    host: Annotated[str, msgspec.Meta(max_length=45)]
+    peer_port: Annotated[int, msgspec.Meta(ge=1, le=65535)]
+    availability_zone: Name
+    leaving: bool
+
+
+class VmsReply(msgspec.Struct, frozen=True):
+    """Reply of `members/list`."""
+
+    vms: Annotated[tuple[VmReply, ...], msgspec.Meta(max_length=MAX_LISTED_VMS)]
+
+
+class LeaseReply(msgspec.Struct, frozen=True):
+    """Reply of `leases/acquire`."""
+
+    holder: Name
+    seconds: Annotated[float, msgspec.Meta(ge=0, le=86400)]
+
+
+def read_reply(data: bytes, kind):
+    """Return the checked reply, or `InvalidInput`."""
+    reply = decode(data, kind)
+    return _host_fault(reply) or reply if isinstance(reply, VmsReply) else reply
+
+
+def _host_fault(reply: VmsReply):
+    for index, entry in enumerate(reply.vms):
+        try:
+            ipaddress.ip_address(entry.host)
+        except ValueError:
+            return InvalidInput(f"$.vms[{index}].host", "an IP number", entry.host)
+    return None
+
+
+def transact_outcome(reply: TransactReply):
+    """Return the outcome that a reply states."""
+    return Committed() if reply.committed else Conflict(rows_of(reply.rows))
+
+
+def rows_of(rows) -> tuple[Row, ...]:
+    """Return rows as the core knows them."""
+    return tuple(Row(key, value, version) for key, value, version in rows)
+
+
+def asked_rows(reply: RowsReply, keys) -> tuple[Row, ...] | InvalidInput:
+    """Return the rows of a read; each must be one that was asked for."""
+    known = set(keys)
+    for key, _, _ in reply.rows:
+        if key not in known:
+            return InvalidInput("$.rows", "rows that were asked for, once", key)
+        known.remove(key)
+    return rows_of(reply.rows)
+
+
+def scanned_rows(reply: RowsReply, prefix, after, limit):
+    """Return the rows of a scan; they must be in order and within its range."""
+    last = after
+    for key, _, _ in reply.rows:
+        if not key.startswith(prefix) or key <= last:
+            expected = f"keys in order, with prefix {prefix}, above {after}"
+            return InvalidInput("$.rows", expected, key)
+        last = key
+    if len(reply.rows) > limit:
+        return InvalidInput("$.rows", f"at most {limit} rows", str(len(reply.rows)))
+    return rows_of(reply.rows)
+
+
+def vm_entries(reply: VmsReply) -> tuple[VmEntry, ...]:
+    """Return the entries of the membership list."""
+    return tuple(
+        VmEntry(e.name, e.host, e.peer_port, e.availability_zone, e.leaving)
+        for e in reply.vms
+    )
+
+
+def lease_held(reply: LeaseReply) -> LeaseHeld:
+    """Return the lease that a reply states."""
+    return LeaseHeld(reply.holder, reply.seconds)
