Cut links in the harness and record starts durably

Cause: partitions could not be injected between given zones, and a killed stand-in upstream lost its record of starts.

Change: Links holds a relay for each pair of zone and entry VM, for each zone's platform access and for each upstream; Deployment(links=True) cuts and mends them, freezes, kills, replaces and terminates entry VMs, and restarts upstreams on the same ports. Upstreams write each start to a file.

Limit: a ticket gives one address for an upstream, so cutting a zone's upstreams cuts them off from all zones.

--- a/packages/testing/carobramp_testing/processes.py
+++ b/packages/testing/carobramp_testing/processes.py
@@ -12,6 +12,7 @@
 from carobramp_schema import encode
 from carobramp_schema.generated.settings import Settings
 from carobramp_testing.builders import first_ticket, vm_settings
+from carobramp_testing.links import Links
 
 START_TIMEOUT_S = 30
 STOP_TIMEOUT_S = 30
@@ -21,6 +22,11 @@
 ZONES = ("tilburg", "breda", "eindhoven")
 
 
+def zone_of(vm):
+    """Return the availability zone of an entry VM of a `Deployment`."""
+    return vm.rsplit("-", 1)[0]
+
+
 async def wait_for(condition, timeout=WAIT_TIMEOUT_S):
     """Wait until the coroutine function `condition` returns something true."""
     async with asyncio.timeout(timeout):
@@ -94,6 +100,7 @@
     slots : slots of each upstream
     settings : sections of the entry VMs' settings
     service : fields of the service's state
+    links : whether links run through relays, so that they can be cut
     """
 
     def __init__(
@@ -104,6 +111,7 @@
         slots=8,
         settings=None,
         service=None,
+        links=False,
     ):
         self.zones = zones
         self.vms_per_zone = vms_per_zone
@@ -111,6 +119,7 @@
         self.slots = slots
         self.settings = settings or {}
         self.service = service or {}
+        self.links = Links(zones) if links else None
         self.folder = tempfile.TemporaryDirectory(prefix="carobramp-")
         self.platform = None
         self.upstreams: dict[str, Process] = {}
@@ -130,19 +139,26 @@
     async def __aexit__(self, *exception):
         for process in reversed(self.processes):
             await process.kill()
+        if self.links is not None:
+            await self.links.stop()
         if self.session is not None:
             await self.session.close()
         self.folder.cleanup()
 
     async def start(self):
         """Start everything and put the first ticket into force."""
-        self.session = aiohttp.ClientSession()
+        self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         self.platform = await self.launch(
             Process(["-m", "carobramp_testing.standins.platform"])
         )
+        names = [f"{zone}-{n}" for zone in self.zones for n in range(self.vms_per_zone)]
+        if self.links is not None:
+            vm_zones = {name: zone_of(name) for name in names}
+            await self.links.start(vm_zones, self.platform.addresses[0])
         for zone in self.zones:
             await self.start_upstreams(zone)
-        names = [f"{zone}-{n}" for zone in self.zones for n in range(self.vms_per_zone)]
+            if self.links is not None:
+                await self.links.add_upstreams(zone, self.upstreams[zone].addresses)
         await asyncio.gather(*(self.start_vm(name) for name in names))
         await self.publish_members()
         await self.put_ticket(names[0], self.first_ticket())
@@ -154,21 +170,20 @@
         return await process.start()
 
     async def start_upstreams(self, zone):
-        """Start the upstreams of a zone in one process."""
+        """Start the upstreams of a zone in one process; again on the same ports."""
         speeds = ",".join(str(speed) for speed in self.speeds)
         arguments = ["-m", "carobramp_testing.standins.upstream"]
         arguments += ["--slots", str(self.slots), "--speeds", speeds]
+        arguments += ["--log-starts", self.starts_path(zone)]
+        if zone in self.upstreams:
+            ports = (str(port) for _, port in self.upstreams[zone].addresses)
+            arguments += ["--ports", ",".join(ports)]
         process = Process(arguments, addresses=len(self.speeds))
         self.upstreams[zone] = await self.launch(process)
 
     async def start_vm(self, name):
         """Start an entry VM; again after its end for a new incarnation."""
-        zone = name.rsplit("-", 1)[0]
-        settings = self.vm_settings.get(name)
-        if settings is None:
-            sections = {k: dict(v) for k, v in self.settings.items()}
-            settings = vm_settings(name, self.platform_url, zone, **sections)
-            self.vm_settings[name] = settings
+        settings = self.vm_settings.get(name) or self.first_settings(name)
         path = os.path.join(self.folder.name, f"{name}.json")
         with open(path, "wb") as file:  # noqa: ASYNC230
             file.write(encode(settings))
@@ -178,6 +193,18 @@
         self.vms[name] = await self.launch(process)
         self.keep_ports(name)
 
+    def first_settings(self, name):
+        """Return the settings of an entry VM that has no ports yet."""
+        zone = zone_of(name)
+        sections = {k: dict(v) for k, v in self.settings.items()}
+        url = self.platform_url
+        if self.links is not None:
+            host, port = self.links.platform[zone].address
+            url = f"http://{host}:{port}"
+            sections["peers"] = self.links.peer_settings(zone)
+        self.vm_settings[name] = vm_settings(name, url, zone, **sections)
+        return self.vm_settings[name]
+
     def keep_ports(self, name):
         """Let a VM that is started again listen on the same ports."""
         settings = self.vm_settings[name]
@@ -186,6 +213,8 @@
             settings.vm, caller_port=caller_port, peer_port=peer_port
         )
         self.vm_settings[name] = msgspec.structs.replace(settings, vm=vm)
+        if self.links is not None:
+            self.links.set_peer_port(name, vm.host, peer_port)
 
     async def publish_members(self, leaving=()):
         """Give the platform's membership list the VMs that were started."""
@@ -223,10 +252,16 @@
         addresses = [
             (zone, host, port)
             for zone in self.zones
-            for host, port in self.upstreams[zone].addresses
+            for host, port in self.ticket_addresses(zone)
         ]
         return first_ticket(addresses, slots=self.slots, **self.service)
 
+    def ticket_addresses(self, zone):
+        """Return the addresses of a zone's upstreams as tickets give them."""
+        if self.links is None:
+            return self.upstreams[zone].addresses
+        return [relay.address for relay in self.links.upstreams[zone]]
+
     async def put_ticket(self, vm, ticket):
         """Put a ticket at an entry VM; return status and body."""
         url = f"{self.url(vm)}/v1/tickets/{ticket.number}"
@@ -265,11 +300,81 @@
         body = await self.post_json(f"{self.url(vm)}/v1/submission-ids", {"count": 1})
         return body["ids"][0]
 
+    def starts_path(self, zone):
+        """Path of the file to which a zone's upstreams write each start."""
+        return os.path.join(self.folder.name, f"starts-{zone}.log")
+
     async def starts(self):
-        """Return the number of starts of each task, over all upstreams."""
+        """Return the number of starts of each task, over all upstreams.
+
+        The files hold the starts of upstreams that have ended, too.
+        """
         starts: dict[str, int] = {}
-        for url in self.upstream_urls():
-            records = await self.get_json(f"{url}/records")
-            for task_id, count in records["starts"].items():
-                starts[task_id] = starts.get(task_id, 0) + count
+        for zone in self.zones:
+            with open(self.starts_path(zone)) as file:  # noqa: ASYNC230
+                for line in file:
+                    task_id = line.split()[0]
+                    starts[task_id] = starts.get(task_id, 0) + 1
         return starts
+
+    async def records(self, zone=None):
+        """Return what the running upstreams know of each task, by upstream URL."""
+        urls = self.upstream_urls(zone)
+        return {url: (await self.get_json(f"{url}/records"))["tasks"] for url in urls}
+
+    async def set_faults(self, url, **faults):
+        """Set the faults of the upstream or platform stand-in at `url`."""
+        await self.post_json(f"{url}/faults", faults)
+
+    def cut(self, zone, other):
+        """Cut the links between the entry VMs of two zones."""
+        for relay in self.links.between(zone, other):
+            relay.cut()
+
+    def mend(self, zone, other):
+        """Mend the links between the entry VMs of two zones."""
+        for relay in self.links.between(zone, other):
+            relay.mend()
+
+    def cut_platform(self, zone):
+        """Cut the entry VMs of a zone off from the platform."""
+        self.links.platform[zone].cut()
+
+    def mend_platform(self, zone):
+        """Connect the entry VMs of a zone to the platform again."""
+        self.links.platform[zone].mend()
+
+    def cut_upstreams(self, zone):
+        """Cut the upstreams of a zone off from all entry VMs."""
+        for relay in self.links.upstreams[zone]:
+            relay.cut()
+
+    def mend_upstreams(self, zone):
+        """Connect the upstreams of a zone again."""
+        for relay in self.links.upstreams[zone]:
+            relay.mend()
+
+    def freeze(self, vm):
+        """Pause the process of an entry VM."""
+        self.vms[vm].signal(signal.SIGSTOP)
+
+    def thaw(self, vm):
+        """Let a paused entry VM run again."""
+        self.vms[vm].signal(signal.SIGCONT)
+
+    async def kill(self, vm):
+        """End an entry VM at once."""
+        await self.vms[vm].kill()
+
+    async def replace(self, vm):
+        """End an entry VM at once and start a new incarnation at its addresses."""
+        await self.kill(vm)
+        await self.start_vm(vm)
+
+    def terminate(self, vm):
+        """Ask an entry VM for a planned stop."""
+        self.vms[vm].signal(signal.SIGTERM)
+
+    async def kill_upstreams(self, zone):
+        """End the process of a zone's upstreams at once."""
+        await self.upstreams[zone].kill()
--- a/packages/testing/carobramp_testing/relay.py
+++ b/packages/testing/carobramp_testing/relay.py
@@ -6,13 +6,14 @@
 
 
 class Relay:
-    """Forwards connections to one address until it is cut.
+    """Forwards connections to `target` until it is cut.
 
-    A cut link swallows data in both directions and accepts connections without an
-    answer, as a partition without resets does; `mend` drops the old connections.
+    A cut link holds data in both directions and accepts connections without an
+    answer, as a partition without resets does. `mend` drops the old connections
+    with what they hold; `deliver` lets the held data arrive late instead.
     """
 
-    def __init__(self, host, port):
+    def __init__(self, host="", port=0):
         self.target = (host, port)
         self.address = ("", 0)
         self.server: asyncio.Server
@@ -27,9 +28,11 @@
         return self
 
     async def stop(self):
-        """Stop listening and drop all connections."""
+        """Stop listening, drop all connections and wait for their ends."""
         self.server.close()
+        connections = tuple(self.connections)
         self.drop()
+        await asyncio.gather(*connections, return_exceptions=True)
 
     def cut(self):
         """Let nothing pass."""
@@ -40,6 +43,10 @@
         self.drop()
         self.open.set()
 
+    def deliver(self):
+        """Let held data arrive, late, and further data pass."""
+        self.open.set()
+
     def drop(self):
         """Close all connections."""
         for connection in self.connections:
@@ -76,4 +83,5 @@
             await self.open.wait()
             writer.write(data)
             await writer.drain()
+        await self.open.wait()
         writer.write_eof()
--- a/packages/testing/carobramp_testing/standins/platform.py
+++ b/packages/testing/carobramp_testing/standins/platform.py
@@ -20,6 +20,8 @@
 from carobramp_testing.standins.store import Store
 
 COPY_EVERY_S = 0.1
+# A burst of connections from all entry VMs can exceed the default of 128.
+BACKLOG = 2048
 
 
 @dataclasses.dataclass
@@ -188,15 +190,15 @@
     return [[row.key, to_text(row.value), row.version] for row in rows]
 
 
-async def serve(apps, host, port):
+async def serve(apps, host, ports):
     """Serve applications until cancelled; print the address of each on a line."""
     runners = []
     try:
-        for app in apps:
+        for app, port in zip(apps, ports, strict=True):
             runner = web.AppRunner(app, access_log=None, keepalive_timeout=75)
             runners.append(runner)
             await runner.setup()
-            await web.TCPSite(runner, host, port).start()
+            await web.TCPSite(runner, host, port, backlog=BACKLOG).start()
             address = runner.addresses[0]
             print(f"listening {address[0]} {address[1]}", flush=True)
         await asyncio.Event().wait()
@@ -211,7 +213,7 @@
     parser.add_argument("--host", default="127.0.0.1")
     parser.add_argument("--port", type=int, default=0)
     args = parser.parse_args()
-    asyncio.run(serve([PlatformStandIn().application()], args.host, args.port))
+    asyncio.run(serve([PlatformStandIn().application()], args.host, [args.port]))
 
 
 if __name__ == "__main__":
--- a/packages/testing/carobramp_testing/standins/upstream.py
+++ b/packages/testing/carobramp_testing/standins/upstream.py
@@ -2,14 +2,16 @@
 
 Run as ``python -m carobramp_testing.standins.upstream --slots 8 --speeds 1,2``. It
 runs tasks that last ``run_ms`` of their payload divided by its speed, and keeps a
-record of each start. ``POST /faults`` sets faults, ``GET /records`` returns the
-number of starts of each task.
+record of each task. ``POST /faults`` sets faults, ``GET /records`` returns the
+records. With ``--log-starts`` each start is also written to a file, so that a killed
+stand-in loses none.
 """
 
 import argparse
 import asyncio
 import collections
 import dataclasses
+import os
 import time
 
 from aiohttp import web
@@ -28,13 +30,14 @@
 
     slow : factor on run times
     refuse : refuse every task
-    close_after_read : close the connection after reading a request
+    close_after_read : close the connection after reading a request, then run it
     truncate : send half of the answer
     late_ms : wait before an answer, after the task ran
     twice : answer twice on the connection
     other_task : answer with another task's id
     fail : fail every task at once
     leaving : refuse new tasks as leaving
+    report_leaving : state in answers that it is leaving, but run new tasks
     """
 
     slow: float = 1.0
@@ -46,17 +49,38 @@
     other_task: bool = False
     fail: bool = False
     leaving: bool = False
+    report_leaving: bool = False
+
+
+@dataclasses.dataclass
+class TaskRecord:
+    """What happened to one task here; times are seconds since the epoch.
+
+    `last_request_at` is the time of the last request for the task, also of a
+    refused one. `stopped` states that a cancel ended the task early.
+    """
+
+    starts: int = 0
+    refused: int = 0
+    cancels: int = 0
+    last_request_at: float = 0.0
+    started_at: float = 0.0
+    ended_at: float = 0.0
+    stopped: bool = False
 
 
 class UpstreamStandIn:
-    """Runs tasks in slots, in order of arrival."""
+    """Runs tasks in slots, in order of arrival.
+
+    `log_starts` is called with the id of each task before the task runs.
+    """
 
-    def __init__(self, slots, speed):
+    def __init__(self, slots, speed, log_starts=None):
         self.slots = slots
         self.speed = speed
         self.faults = Faults()
-        self.starts: collections.Counter[str] = collections.Counter()
-        self.start_times: dict[str, float] = {}
+        self.log_starts = log_starts
+        self.tasks: dict[str, TaskRecord] = collections.defaultdict(TaskRecord)
         self.busy = 0
         self.free_slots = asyncio.Semaphore(slots)
         self.cancels: dict[str, asyncio.Event] = {}
@@ -77,11 +101,13 @@
         return web.json_response({})
 
     async def get_records(self, request):
-        """Return starts by task, the times of the starts and message counts."""
+        """Return the record of each task and message counts."""
+        started = {key: task for key, task in self.tasks.items() if task.starts}
         return web.json_response(
             {
-                "starts": self.starts,
-                "start_times": self.start_times,
+                "starts": {key: task.starts for key, task in started.items()},
+                "start_times": {key: task.started_at for key, task in started.items()},
+                "tasks": {k: dataclasses.asdict(t) for k, t in self.tasks.items()},
                 "messages": self.messages,
             }
         )
@@ -91,9 +117,14 @@
         body = await request.json()
         self.messages["task"] += 1
         task_id = body["task_id"]
+        task = self.tasks[task_id]
+        task.last_request_at = time.time()
         if self.faults.leaving or self.faults.refuse:
+            task.refused += 1
             error = "leaving" if self.faults.leaving else "busy"
             return self.reply(task_id, 503, status="refused", error=error)
+        if self.faults.close_after_read:
+            request.transport.close()
         self.busy += 1
         try:
             outcome = await self.occupy_slot(task_id, body)
@@ -104,11 +135,16 @@
     async def occupy_slot(self, task_id, body):
         """Wait for a slot and run the task in it."""
         async with self.free_slots:
-            self.starts[task_id] += 1
-            self.start_times[task_id] = time.time()
+            task = self.tasks[task_id]
+            task.starts += 1
+            task.started_at = time.time()
+            if self.log_starts is not None:
+                self.log_starts(task_id)
             if self.faults.fail:
                 return {"status": "failed", "error": "fails everything"}
-            return await self.work(task_id, body["payload"])
+            outcome = await self.work(task_id, body["payload"])
+            task.ended_at = time.time()
+            return outcome
 
     async def work(self, task_id, payload):
         """Let the run time of a task pass, unless it is cancelled."""
@@ -120,6 +156,7 @@
         try:
             async with asyncio.timeout(run_ms / 1000):
                 await cancel.wait()
+                self.tasks[task_id].stopped = True
                 return {"status": "failed", "error": "cancelled"}
         except TimeoutError:
             pass
@@ -128,15 +165,17 @@
         if payload.get("fail"):
             return {"status": "failed", "error": "the payload asks for it"}
         elapsed = (time.monotonic() - started) * 1000
-        return {"status": "done", "result": {"task_id": task_id}, "run_ms": elapsed}
+        result = {"task_id": task_id}
+        if "token" in payload:
+            result["token"] = payload["token"]
+        return {"status": "done", "result": result, "run_ms": elapsed}
 
     async def reply_with_faults(self, request, task_id, outcome):
         """Answer a task that ran, with the faults in force."""
         faults = self.faults
         if faults.late_ms:
             await asyncio.sleep(faults.late_ms / 1000)
-        if faults.close_after_read:
-            request.transport.close()
+        if request.transport is None:
             return web.Response(status=500)
         if faults.other_task:
             task_id = "other:0"
@@ -166,23 +205,34 @@
             "task_id": task_id,
             "busy": self.busy,
             "slots": self.slots,
-            "leaving": self.faults.leaving,
+            "leaving": self.faults.leaving or self.faults.report_leaving,
         }
         return web.json_response(report | fields, status=http_status)
 
     async def cancel_task(self, request):
         """Stop a running task."""
         self.messages["cancel"] += 1
+        self.tasks[request.match_info["task_id"]].cancels += 1
         cancel = self.cancels.get(request.match_info["task_id"])
         if cancel is not None:
             cancel.set()
         return web.json_response({})
 
 
-async def serve_upstreams(host, slots, speeds):
+def start_log(path):
+    """Return a function that appends task ids to the file at `path`."""
+    file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
+
+    def append(task_id):
+        os.write(file, f"{task_id} {time.time():.6f}\n".encode())
+
+    return append
+
+
+async def serve_upstreams(host, slots, speeds, ports, log_starts):
     """Serve one stand-in for each speed, each on a port of its own."""
-    apps = [UpstreamStandIn(slots, speed).application() for speed in speeds]
-    await serve(apps, host, 0)
+    apps = [UpstreamStandIn(slots, s, log_starts).application() for s in speeds]
+    await serve(apps, host, ports)
 
 
 def main():
@@ -191,9 +241,14 @@
     parser.add_argument("--host", default="127.0.0.1")
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--speeds", default="1.0", help="one upstream for each")
+    parser.add_argument("--ports", default="", help="one for each; else any")
+    parser.add_argument("--log-starts", default="", help="file for the starts")
     args = parser.parse_args()
     speeds = [float(speed) for speed in args.speeds.split(",")]
-    asyncio.run(serve_upstreams(args.host, args.slots, speeds))
+    ports = [int(port) for port in args.ports.split(",") if port]
+    log = start_log(args.log_starts) if args.log_starts else None
+    ports = ports or [0] * len(speeds)
+    asyncio.run(serve_upstreams(args.host, args.slots, speeds, ports, log))
 
 
 if __name__ == "__main__":
