--- a/packages/testing/carobramp_testing/callers.py
+++ b/packages/testing/carobramp_testing/callers.py
@@ -1,10 +1,12 @@
 """Callers that keep what they sent and got, for the checks."""
 
 import asyncio
+import contextlib
 import itertools
 import time
 
 import aiohttp
+import msgspec
 
 from carobramp_schema.generated.caller import TaskSpec
 from carobramp_testing.builders import job_request
@@ -34,7 +36,7 @@
             TaskSpec({"run_ms": run_ms, "token": f"t{next(self.numbers)}"}, run_ms)
             for _ in range(tasks)
         ]
-        return job_request(**({"tasks": specs} | fields))
+        return msgspec.structs.replace(job_request(**fields), tasks=specs)
 
     async def submit(self, vm, request=None, key="", excused=None):
         """Submit one job once; return the `Attempt`.
@@ -49,7 +51,12 @@
         """
         request = request or self.request()
         started = time.monotonic()
-        status, body = await self.ask(vm, request, key)
+        try:
+            status, body = await self.ask(vm, request, key)
+            refused = False
+        except aiohttp.ClientConnectorError:
+            # The request did not leave the caller, so no answer is owed.
+            status, body, refused = 0, None, True
         attempt = Attempt(
             key=key,
             vm=vm,
@@ -58,17 +65,25 @@
             elapsed_ms=(time.monotonic() - started) * 1000,
             status=status,
             body=body,
-            excused=bool(excused and excused()),
+            excused=refused or bool(excused and excused()),
         )
         self.attempts.append(attempt)
         return attempt
 
     async def ask(self, vm, request, key):
-        """Return status and body of a submission; status 0 when no answer came."""
+        """Return status and body of a submission; status 0 when no answer came.
+
+        Raises
+        ======
+
+        aiohttp.ClientConnectorError : when no connection was made
+        """
         limit = (request.deadline_ms + MARGIN_MS + GIVE_UP_AFTER_MS) / 1000
         try:
             async with asyncio.timeout(limit):
                 return await self.deployment.submit(vm, request, key)
+        except aiohttp.ClientConnectorError:
+            raise
         except (aiohttp.ClientError, TimeoutError, ValueError):
             return 0, None
 
@@ -80,6 +95,26 @@
         )
         return await asyncio.gather(*calls)
 
+    @contextlib.asynccontextmanager
+    async def load(self, vms=None, pause=0.02, **fields):
+        """Submit a job to each of `vms` every `pause` seconds, inside the block."""
+        vms = list(vms or self.deployment.vms)
+
+        async def submit_on():
+            async with asyncio.TaskGroup() as group:
+                while not stop.is_set():
+                    for vm in vms:
+                        group.create_task(self.submit(vm, self.request(**fields)))
+                    await asyncio.sleep(pause)
+
+        stop = asyncio.Event()
+        loop = asyncio.create_task(submit_on())
+        try:
+            yield
+        finally:
+            stop.set()
+            await loop
+
     async def check(self):
         """Return the violations up to now."""
         return check(self.attempts, await self.deployment.starts())
--- a/packages/testing/carobramp_testing/standins/upstream.py
+++ b/packages/testing/carobramp_testing/standins/upstream.py
@@ -19,6 +19,7 @@
 from carobramp_testing.standins.platform import serve
 
 DEFAULT_RUN_MS = 50
+SECOND_ANSWER_S = 0.01
 
 
 @dataclasses.dataclass
@@ -33,7 +34,7 @@
     close_after_read : close the connection after reading a request, then run it
     truncate : send half of the answer
     late_ms : wait before an answer, after the task ran
-    twice : answer twice on the connection
+    twice : send the answer once more, later, on the same open connection
     other_task : answer with another task's id
     fail : fail every task at once
     leaving : refuse new tasks as leaving
@@ -180,23 +181,14 @@
         if faults.other_task:
             task_id = "other:0"
         response = self.reply(task_id, 200, **outcome)
-        if faults.truncate or faults.twice:
-            return await self.send_raw(request, response, faults)
-        return response
-
-    async def send_raw(self, request, response, faults):
-        """Send half an answer, or two answers, and close the connection."""
-        head = (
-            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-            f"Content-Length: {len(response.body)}\r\n\r\n"
-        ).encode()
-        whole = head + response.body
+        whole = raw_answer(response)
         if faults.truncate:
             request.transport.write(whole[: -len(response.body) // 2])
-        else:
-            request.transport.write(whole + whole)
-        request.transport.close()
-        return web.Response(status=500)
+            request.transport.close()
+        if faults.twice:
+            loop = asyncio.get_running_loop()
+            loop.call_later(SECOND_ANSWER_S, send_again, request.transport, whole)
+        return response
 
     def reply(self, task_id, http_status, **fields):
         """Build an answer with the load report."""
@@ -219,6 +211,21 @@
         return web.json_response({})
 
 
+def raw_answer(response):
+    """Return the bytes of an answer with its head."""
+    head = (
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+        f"Content-Length: {len(response.body)}\r\n\r\n"
+    )
+    return head.encode() + response.body
+
+
+def send_again(transport, whole):
+    """Send an answer a second time, if the connection is still open."""
+    if not transport.is_closing():
+        transport.write(whole)
+
+
 def start_log(path):
     """Return a function that appends task ids to the file at `path`."""
     file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
