--- a/packages/testing/carobramp_testing/relay.py
+++ b/packages/testing/carobramp_testing/relay.py
@@ -58,7 +58,8 @@
         self.connections.add(connection)
         try:
             await self.forward(reader, writer)
-        except OSError:
+        except (OSError, asyncio.CancelledError):
+            # The stream server logs the cancellation of a handler as an error.
             pass
         finally:
             self.connections.discard(connection)
