--- a/packages/testing/carobramp_testing/tests/case.py
+++ b/packages/testing/carobramp_testing/tests/case.py
@@ -1,5 +1,6 @@
 """Base of the tests that inject failures into real processes."""
 
+import asyncio
 import unittest
 
 from carobramp_testing.callers import Callers
@@ -19,6 +20,10 @@
     deployment: Deployment
     callers: Callers
 
+    async def asyncSetUp(self):
+        """Turn off the debug mode of the loop, which slows callers and relays."""
+        asyncio.get_running_loop().set_debug(False)
+
     async def deploy(self, **options):
         """Start a deployment that ends with the test."""
         sections = FAST | options.pop("settings", {})
