--- a/packages/daemon/carobramp_daemon/daemon.py
+++ b/packages/daemon/carobramp_daemon/daemon.py
@@ -1,6 +1,7 @@
 """The daemon of an entry VM: starts the services and stops them gracefully."""
 
 import asyncio
+import random
 import secrets
 import signal
 
@@ -8,13 +9,17 @@
 
 from carobramp_core.submission.ids import IdIssuer
 from carobramp_daemon.api import CallerApi
+from carobramp_daemon.cancels import Canceller
 from carobramp_daemon.dispatch import DispatchService
+from carobramp_daemon.forwarded import ForwardHandlers
+from carobramp_daemon.forwards import Forwarder
 from carobramp_daemon.logs import Log
 from carobramp_daemon.membership import MembershipService
 from carobramp_daemon.metrics import Metrics
 from carobramp_daemon.peers import PeerApi, PeerClients, PeerHandlers
 from carobramp_daemon.platform import PlatformClient
 from carobramp_daemon.submission import SubmissionService
+from carobramp_daemon.ticket_calls import TicketCalls
 from carobramp_daemon.tickets import TicketService
 from carobramp_daemon.upstreams import UpstreamClient
 from carobramp_schema.generated.settings import Settings
@@ -47,26 +52,67 @@
             settings, self.handlers, self.metrics, self.new_log("peer")
         )
         self.peers = PeerClients(settings, self.metrics, self.new_log("peer"))
+        self.control = PeerClients(settings, self.metrics, self.new_log("peer"))
+        self.dispatch = DispatchService(
+            settings, self.upstreams, self.job_finished, self.metrics
+        )
         self.membership = MembershipService(
             settings,
             self.platform,
-            self.peers,
+            self.control,
+            self.dispatch,
+            self.incarnation,
+            random.Random(),
             self.metrics,
             self.new_log("membership"),
         )
-        self.dispatch = DispatchService(
-            settings.dispatch, self.upstreams, self.job_finished, self.metrics
+        submission_log = self.new_log("submission")
+        self.forwarder = Forwarder(
+            settings, self.peers, self.membership, self.metrics, submission_log
         )
         self.submissions = SubmissionService(
-            settings, issuer, self.dispatch, self.metrics, self.new_log("submission")
+            settings,
+            issuer,
+            self.dispatch,
+            self.forwarder,
+            self.platform,
+            lambda: self.tickets.ready,
+            self.metrics,
+            submission_log,
         )
+        forward_handlers = ForwardHandlers(self.submissions, self.metrics)
+        self.handlers.forward = forward_handlers.forward
+        self.handlers.cancel = forward_handlers.cancel
         self.tickets = TicketService(
-            settings, self.platform, self.dispatch, self.metrics, self.new_log("ticket")
+            settings,
+            self.platform,
+            self.membership,
+            self.control,
+            self.dispatch,
+            random.Random(),
+            self.metrics,
+            self.new_log("ticket"),
         )
+        self.connect_control()
         self.api = CallerApi(
-            settings, self.submissions, self.tickets, self.metrics, self.new_log("api")
+            settings,
+            self.submissions,
+            Canceller(self.submissions, self.forwarder, self.platform),
+            self.tickets,
+            self.metrics,
+            self.new_log("api"),
         )
 
+    def connect_control(self):
+        """Connect tickets, membership and the calls from peers."""
+        self.membership.tickets = self.tickets
+        self.membership.peer_port = lambda: self.peer_api.port
+        self.handlers.heartbeat = self.membership.on_heartbeat
+        calls = TicketCalls(self.tickets)
+        self.handlers.fetch_tickets = calls.on_fetch_tickets
+        self.handlers.fetch_state = calls.on_fetch_state
+        self.handlers.notify_ticket = calls.on_notify
+
     def job_finished(self, event):
         """Hand the outcome of a job to its submission."""
         self.submissions.finished(event)
@@ -81,6 +127,7 @@
             self.platform,
             self.upstreams,
             self.peers,
+            self.control,
             self.dispatch,
             self.submissions,
             self.membership,
@@ -92,12 +139,13 @@
     async def drain(self):
         """Take no new jobs and wait for those under way."""
         self.api.draining = True
+        self.membership.leaving = True
         self.log_line.info("draining")
         await asyncio.sleep(self.settings.drain.drain_notice_ms / 1000)
-        self.api.accepting = False
+        self.submissions.accepting = False
         try:
             async with asyncio.timeout(self.settings.drain.drain_max_ms / 1000):
-                while self.dispatch.dispatcher.jobs:
+                while self.submissions.busy() or self.peer_api.forwards_open:
                     await asyncio.sleep(DRAIN_POLL_S)
         except TimeoutError:
             self.log_line.info("drain took too long")
--- a/packages/daemon/carobramp_daemon/peers.py
+++ b/packages/daemon/carobramp_daemon/peers.py
@@ -53,6 +53,7 @@
         self.log_line = log
         self.server: Server
         self.port = 0
+        self.forwards_open = 0
 
     async def on_start(self):
         """Listen for other entry VMs."""
@@ -86,7 +87,11 @@
 
     async def Forward(self, stream):
         """Run a job that this process owns."""
-        await self.answer(stream, "forward", self.handlers.forward)
+        self.forwards_open += 1
+        try:
+            await self.answer(stream, "forward", self.handlers.forward)
+        finally:
+            self.forwards_open -= 1
 
     async def Cancel(self, stream):
         """Cancel a job that this process owns."""
@@ -165,12 +170,22 @@
         self.count(call, request, reply)
         return reply
 
-    async def stream(self, address, call, request, timeout):
-        """Send a call with streamed replies; return them or `PeerUnreachable`."""
+    async def stream(self, address, call, request, timeout, max_bytes):
+        """Send a call with streamed replies; return them or `PeerUnreachable`.
+
+        Replies over `max_bytes` together are given up.
+        """
         method = getattr(self.stub(address), call)
+        replies, size = [], 0
         try:
-            async with asyncio.timeout(timeout):
-                replies = await method(request)
+            async with asyncio.timeout(timeout), method.open() as stream:
+                await stream.send_message(request, end=True)
+                async for reply in stream:
+                    size += reply.ByteSize()
+                    if size > max_bytes:
+                        detail = f"replies over {max_bytes} bytes"
+                        return PeerUnreachable(detail, maybe_received=True)
+                    replies.append(reply)
         except (
             OSError,
             TimeoutError,
--- a/packages/testing/carobramp_testing/chaos/callers.py
+++ b/packages/testing/carobramp_testing/chaos/callers.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from carobramp_schema.generated.caller import TaskSpec
-from carobramp_testing.builders import job_request
+from carobramp_testing.builders import caller_made_id, job_request
 from carobramp_testing.callers import Callers
 
 JOBS_PER_S = 40.0
@@ -23,6 +23,7 @@
 CLASSES = ("interactive", "batch")
 TASKS_MAX = 4
 DECLARED_FACTORS = (0.0, 0.1, 1.0, 1.0, 5.0)
+KEY_SEED_BITS = 128
 FAIL_PERCENT = 3
 TWIN_PERCENT = 10
 REPEAT_PERCENT = 5
@@ -33,22 +34,6 @@
 CALL_TIMEOUT_S = 3.0
 
 
-def uuid7(wall_ms, random_bits):
-    """Return a UUID of version 7 (RFC 9562).
-
-    Examples
-    ========
-
-    >>> uuid7(0x017F22E279B0, 0)
-    '017f22e2-79b0-7000-8000-000000000000'
-    """
-    high = (wall_ms << 16) | 0x7000 | (random_bits >> 62 & 0xFFF)
-    low = (0b10 << 62) | (random_bits & (1 << 62) - 1)
-    text = f"{high:016x}{low:016x}"
-    parts = (text[:8], text[8:12], text[12:16], text[16:20], text[20:])
-    return "-".join(parts)
-
-
 class ChaosCallers(Callers):
     """Open arrivals of jobs with all kinds of submission ids.
 
@@ -105,7 +90,7 @@
         if mode == NO_KEY:
             return ""
         if mode == CLAIMED:
-            return uuid7(int(time.time() * 1000), secrets.randbits(74))
+            return caller_made_id(secrets.randbits(KEY_SEED_BITS))
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 return await self.deployment.new_id(vm)
--- a/packages/testing/carobramp_testing/relay.py
+++ b/packages/testing/carobramp_testing/relay.py
@@ -59,7 +59,7 @@
         try:
             await self.forward(reader, writer)
         except (OSError, asyncio.CancelledError):
-            # The stream server logs the cancellation of a handler as an error.
+            # `drop` cancels; asyncio's stream server logs a cancelled callback.
             pass
         finally:
             self.connections.discard(connection)
