--- a/packages/daemon/carobramp_daemon/membership.py
+++ b/packages/daemon/carobramp_daemon/membership.py
@@ -21,6 +21,7 @@
     WentSilent,
 )
 from carobramp_core.platform import Unavailable
+from carobramp_daemon.gate import Gate
 from carobramp_daemon.heartbeats import pack_loads, read_status
 from carobramp_daemon.peers import PeerUnreachable
 from carobramp_schema import InvalidInput
@@ -62,6 +63,7 @@
     def __init__(
         self,
         settings: Settings,
+        gate: Gate,
         platform,
         control,
         dispatch,
@@ -72,6 +74,7 @@
     ):
         super().__init__()
         self.settings = settings
+        self.gate = gate
         self.timing = settings.membership
         self.platform = platform
         self.control = control
@@ -87,7 +90,6 @@
             settings.peers,
             time.monotonic(),
         )
-        self.leaving = False
         self.tickets: Any = None
         self.team_loads = list
         self.peer_port = lambda: settings.vm.peer_port
@@ -234,7 +236,7 @@
             incarnation=self.incarnation,
             host=me.host,
             peer_port=self.peer_port(),
-            leaving=self.leaving,
+            leaving=self.gate.draining,
             state_number=state.number,
             state_digest=self.tickets.digest,
             heard_number=self.tickets.heard_number,
