Test each dispatch decision; let runs of failures trip guards

Cause: an upstream that died after serving many tasks well stayed below the failure percentage of its window; its guard did not trip. Waiting for a faster upstream used rates up to 0.5 s old. Upstreams that were never tried stayed untried. Change: an unbroken run of failures with a chance below 1e-5 trips; rates of faster upstreams are summed up when needed; untried upstreams count as 20% faster; entries of equal upstreams are shuffled. Unit tests with a virtual clock and property tests.

--- a/packages/core/carobramp_core/dispatch/deployment.py
+++ b/packages/core/carobramp_core/dispatch/deployment.py
@@ -33,7 +33,7 @@
     for name, versioned in state.services.items():
         pool = dispatcher.pools.get(name)
         if pool is None:
-            dispatcher.pools[name] = ServicePool(name, versioned.state)
+            dispatcher.pools[name] = ServicePool(name, versioned.state, dispatcher.rng)
         elif pool.state is not versioned.state:
             pool.set_state(versioned.state)
     for name in dispatcher.pools.keys() - state.services.keys():
--- a/packages/core/carobramp_core/dispatch/guards.py
+++ b/packages/core/carobramp_core/dispatch/guards.py
@@ -18,6 +18,9 @@
 # With 3.5 standard deviations, 30% of jobs that fail anywhere tripped two guards of
 # good upstreams in 18,000 simulated tasks.
 SIGNIFICANCE = 4.5
+# Chance below which an unbroken run of failures trips a guard, whatever succeeded
+# earlier in the window: an upstream that dies had served many tasks well.
+RUN_CHANCE = 1e-5
 # Probability below which consecutive failures are not put down to chance.
 SUSPICION_CHANCE = 0.05
 WINDOW_PARTS = 2
@@ -66,10 +69,13 @@
 
 
 def ratio_without(total: WindowCounts, own: WindowCounts) -> float:
-    """Return the smoothed failure ratio of the other upstreams."""
+    """Return the smoothed failure ratio of the other upstreams.
+
+    Without tasks elsewhere it is 20%, so that few failures prove nothing at first.
+    """
     tasks = max(0, sum(total.tasks) - sum(own.tasks))
     failures = max(0, sum(total.failures) - sum(own.failures))
-    return min(1.0, (failures + 0.5) / (tasks + 10))
+    return min(1.0, (failures + 1) / (tasks + 5))
 
 
 class Guard:
@@ -80,6 +86,8 @@
 
     >>> guard, total = Guard(), WindowCounts()
     >>> settings = GuardSettings()
+    >>> for task in range(50):
+    ...     total.add(False, f"other-{task}", 9.0, 10.0)
     >>> for task in range(3):
     ...     total.add(True, f"job-{task}", 10.0, 10.0)
     ...     tripped = guard.record(True, f"job-{task}", 9.9, 10.0, settings, total)
@@ -87,7 +95,14 @@
     (True, <GuardState.OPEN: 'open'>, <GuardState.PROBING: 'probing'>)
     """
 
-    __slots__ = ("counts", "opened", "open_until", "open_s", "failed_in_a_row")
+    __slots__ = (
+        "counts",
+        "opened",
+        "open_until",
+        "open_s",
+        "failed_in_a_row",
+        "jobs_in_a_row",
+    )
 
     def __init__(self):
         self.counts = WindowCounts()
@@ -95,6 +110,7 @@
         self.open_until = -math.inf
         self.open_s = 0.0
         self.failed_in_a_row = 0
+        self.jobs_in_a_row: set[str] = set()
 
     def state(self, now) -> GuardState:
         """Return the state at `now`."""
@@ -117,7 +133,7 @@
         `total` counts all tasks of the service, with this one.
         """
         self.counts.add(failed, job, now, settings.window_ms / 1000)
-        self.failed_in_a_row = self.failed_in_a_row + 1 if failed else 0
+        self.count_run(failed, job)
         if self.opened:
             return self.record_probe(failed, started, now, settings)
         if not settings.enabled or not failed or not self.too_many(settings, total):
@@ -125,6 +141,16 @@
         self.trip(now, settings)
         return True
 
+    def count_run(self, failed, job):
+        """Count failures without a success between them."""
+        if not failed:
+            self.failed_in_a_row = 0
+            self.jobs_in_a_row.clear()
+            return
+        self.failed_in_a_row += 1
+        if len(self.jobs_in_a_row) < MIN_JOBS:
+            self.jobs_in_a_row.add(job)
+
     def record_probe(self, failed, started, now, settings):
         """Take the outcome of a task while open; only probes decide."""
         if started < self.open_until:
@@ -141,11 +167,15 @@
         tasks, failures = sum(self.counts.tasks), sum(self.counts.failures)
         if failures < settings.min_failures:
             return False
+        usual = ratio_without(total, self.counts)
+        if len(self.jobs_in_a_row) >= MIN_JOBS:
+            run = self.failed_in_a_row
+            if run >= settings.min_failures and usual**run < RUN_CHANCE:
+                return True
         if len(self.counts.jobs[0] | self.counts.jobs[1]) < MIN_JOBS:
             return False
         if failures * 100 < settings.failure_percent * tasks:
             return False
-        usual = ratio_without(total, self.counts)
         deviation = math.sqrt(tasks * usual * (1 - usual))
         return failures > tasks * usual + SIGNIFICANCE * deviation
 
--- a/packages/core/carobramp_core/dispatch/pool.py
+++ b/packages/core/carobramp_core/dispatch/pool.py
@@ -10,10 +10,10 @@
 estimates decay with time.
 """
 
-import bisect
 import heapq
 import itertools
 import math
+import random
 
 from carobramp_core.dispatch.guards import WindowCounts
 from carobramp_core.dispatch.queue import ServiceQueue
@@ -64,14 +64,13 @@
 class Group:
     """Upstreams of one service, either of the own zone or of all other zones."""
 
-    def __init__(self, totals: WindowCounts):
+    def __init__(self, totals: WindowCounts, rng: random.Random):
         self.totals = totals
+        self.rng = rng
         self.members: dict[str, Upstream] = {}
         self.usable: list[Upstream] = []
         self.heaps: dict[int, list] = {0: []}
         self.reserves: dict[int, dict[str, int]] = {0: {}}
-        self.slowness: list[float] = []
-        self.rates: list[float] = []
         self.rate = 0.0
         self.top_speed = 0.0
         self.zones: dict[str, ZoneHealth] = {}
@@ -107,18 +106,16 @@
         self.divide_reserves()
         for heap in self.heaps.values():
             heap.clear()
-        for upstream in self.usable:
+        # Among equals the first entry wins; the same order at each VM would let all
+        # VMs of a zone choose the same upstream.
+        for upstream in self.rng.sample(self.usable, len(self.usable)):
             self.push(upstream, now)
 
     def sum_rates(self, now):
         """Sum up how much work per unit of time this VM can place."""
-        self.slowness, self.rates, total = [], [], 0.0
-        self.rate = 0.0
-        for upstream in self.usable:
-            self.rate += max(0, upstream.capacity(now)) * upstream.speed
-            total += len(upstream.running) * upstream.speed
-            self.slowness.append(-upstream.speed)
-            self.rates.append(total)
+        self.rate = sum(
+            max(0, upstream.capacity(now)) * upstream.speed for upstream in self.usable
+        )
         self.top_speed = self.usable[0].speed if self.usable else 0.0
 
     def divide_reserves(self):
@@ -177,8 +174,12 @@
 
         Slots that other VMs free are seen too late to be waited for.
         """
-        index = bisect.bisect_left(self.slowness, -speed)
-        return self.rates[index - 1] if index else 0.0
+        rate = 0.0
+        for upstream in self.usable:
+            if upstream.speed < speed:
+                break
+            rate += len(upstream.running) * upstream.speed
+        return rate
 
     def mean_speed(self):
         """Return the mean speed of what this VM can place."""
@@ -190,12 +191,12 @@
 class ServicePool:
     """One service: its upstreams, queue, budgets and learned run times."""
 
-    def __init__(self, name, state: ServiceState):
+    def __init__(self, name, state: ServiceState, rng: random.Random):
         self.name = name
         self.queue = ServiceQueue(name)
         self.totals = WindowCounts()
-        self.near = Group(self.totals)
-        self.far = Group(self.totals)
+        self.near = Group(self.totals, rng)
+        self.far = Group(self.totals, rng)
         self.budget = RetryBudget()
         self.times: dict[str, RunTimes] = {}
         self.refreshed_at = -math.inf
--- a/packages/core/carobramp_core/dispatch/routing.py
+++ b/packages/core/carobramp_core/dispatch/routing.py
@@ -115,6 +115,8 @@
 
 def worth_waiting(group, choice, upstream):
     """Whether all waiting tasks would soon be served by faster upstreams."""
+    if upstream.speed * HOLD_ADVANTAGE >= group.top_speed:
+        return False
     rate = group.rate_above(upstream.speed * FASTER)
     if rate <= 0:
         return False
--- /dev/null
+++ b/packages/core/carobramp_core/dispatch/tests/test_properties.py
@@ -0,0 +1,268 @@
+"""Properties that hold for any order of events."""
+
+import collections
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies as st
+
+from carobramp_core.dispatch.messages import (
+    JobCancelled,
+    JobFinished,
+    PeerLoad,
+    PeersSeen,
+    StartTask,
+    TaskDone,
+    TaskFailed,
+    TaskNotStarted,
+    TaskUnknown,
+    UpstreamReport,
+    UpstreamsLeaving,
+)
+from carobramp_core.dispatch.routing import POLICIES
+from carobramp_core.dispatch.tests.support import (
+    CLASSES,
+    Driver,
+    ticket,
+    upstream_state,
+)
+from carobramp_core.outcomes import JobDone, JobFailed, JobRefused, Reason, RetryReason
+from carobramp_schema.generated.ticket import TeamState, Ticket, UpstreamChange
+
+PROFILE = hypothesis.settings(
+    derandomize=True, max_examples=150, deadline=None, database=None
+)
+QUOTAS = {"bakery": 5, "club": 50}
+SLOTS = 3
+UPSTREAMS = ("up-0", "up-1", "far-0")
+OUTCOMES = ("done", "failed", "unknown", "refused_busy", "connect_failed")
+
+events = st.lists(
+    st.one_of(
+        st.tuples(
+            st.just("submit"),
+            st.integers(1, 12),
+            st.sampled_from(sorted(QUOTAS)),
+            st.sampled_from([item.name for item in CLASSES]),
+            st.sampled_from([0.2, 2.0, 30.0]),
+        ),
+        st.tuples(st.just("answer"), st.integers(0, 1000), st.sampled_from(OUTCOMES)),
+        st.tuples(st.just("again"), st.integers(0, 1000)),
+        st.tuples(st.just("cancel"), st.integers(0, 40)),
+        st.tuples(st.just("pass"), st.sampled_from([0.001, 0.1, 1.0, 40.0])),
+        st.tuples(st.just("leave"), st.sampled_from(UPSTREAMS)),
+        st.tuples(st.just("remove"), st.sampled_from(UPSTREAMS)),
+        st.tuples(st.just("peers"), st.integers(1, 4), st.integers(0, 9)),
+    ),
+    max_size=80,
+)
+
+
+def outcome_of(name):
+    """Return the task outcome with a name."""
+    if name == "done":
+        return TaskDone("result", 50.0)
+    if name == "failed":
+        return TaskFailed("error", 50.0)
+    if name == "unknown":
+        return TaskUnknown("lost")
+    return TaskNotStarted(RetryReason(name), "not started")
+
+
+class Checker:
+    """Drives a dispatcher and checks each effect."""
+
+    def __init__(self, test, policy):
+        upstreams = {
+            "up-0": upstream_state(slots=SLOTS),
+            "up-1": upstream_state(slots=SLOTS, speed_hint=0.5),
+            "far-0": upstream_state("breda", slots=SLOTS),
+        }
+        teams = {name: TeamState(quota) for name, quota in QUOTAS.items()}
+        self.test = test
+        self.policy = policy
+        self.driver = Driver(upstreams=upstreams, teams=teams, policy=policy)
+        self.open: dict = {}
+        self.past: list = []
+        self.blocked: set = set()
+        self.jobs: dict = {}
+        self.finished: dict = {}
+        self.may_have_run: set = set()
+        self.gone: set = set()
+
+    def step(self, event):
+        """Carry out one event of a generated history."""
+        getattr(self, "do_" + event[0])(*event[1:])
+        self.check_state()
+
+    def do_submit(self, tasks, team, name, deadline):
+        """Submit a job."""
+        job = f"job-{len(self.jobs)}"
+        self.jobs[job] = self.driver.now + deadline
+        self.take(
+            self.driver.submit(
+                job, tasks=tasks, team=team, priority_class=name, deadline=deadline
+            )
+        )
+
+    def do_answer(self, number, name):
+        """Answer one open task."""
+        if not self.open:
+            return
+        start = sorted(self.open.values(), key=lambda s: str(s.task_id))[
+            number % len(self.open)
+        ]
+        del self.open[start.task_id]
+        self.past.append(start)
+        outcome = outcome_of(name)
+        if not isinstance(outcome, TaskNotStarted):
+            self.blocked.add(start.task_id)
+            self.may_have_run.add(start.task_id.submission_id)
+        report = UpstreamReport(number % 7, SLOTS, False)
+        self.take(self.driver.answer(start, outcome, report))
+
+    def do_again(self, number):
+        """Answer a task a second time."""
+        closed = [s for s in self.past if s.task_id not in self.open]
+        if closed:
+            self.take(self.driver.answer(closed[number % len(closed)]))
+
+    def do_cancel(self, number):
+        """Cancel a job."""
+        self.take(self.driver.event(JobCancelled(f"job-{number}", Reason.CANCELLED)))
+
+    def do_pass(self, seconds):
+        """Let time pass."""
+        self.take(self.driver.after(seconds))
+
+    def do_leave(self, name):
+        """Let the list name an upstream as leaving, and no other."""
+        self.take(self.driver.event(UpstreamsLeaving(frozenset({name}))))
+
+    def do_remove(self, name):
+        """Remove an upstream by ticket."""
+        if name in self.gone:
+            return
+        self.gone.add(name)
+        number = self.driver.state.number
+        change = UpstreamChange(name, number, None)
+        self.take(self.driver.apply(Ticket(number + 1, "anna", upstreams=[change])))
+
+    def do_peers(self, vms, load):
+        """Tell of other VMs."""
+        loads = (PeerLoad("bakery", load, load),)
+        self.take(self.driver.event(PeersSeen(vms, vms, loads)))
+
+    def take(self, effects):
+        """Check starts and outcomes."""
+        for effect in effects:
+            if isinstance(effect, StartTask):
+                self.check_start(effect)
+            elif isinstance(effect, JobFinished):
+                self.check_finish(effect)
+
+    def check_start(self, start):
+        """Check one start."""
+        job = start.task_id.submission_id
+        self.test.assertNotIn(start.task_id, self.open)
+        self.test.assertNotIn(start.task_id, self.blocked)
+        self.test.assertNotIn(job, self.finished)
+        self.test.assertLess(self.driver.now, self.jobs[job])
+        self.test.assertNotIn(start.upstream, self.gone)
+        self.open[start.task_id] = start
+
+    def check_finish(self, effect):
+        """Check one outcome of a job."""
+        job, outcome = effect.submission_id, effect.outcome
+        self.test.assertNotIn(job, self.finished)
+        self.finished[job] = outcome
+        ran = job in self.may_have_run or any(
+            task_id.submission_id == job for task_id in self.open
+        )
+        if isinstance(outcome, JobRefused):
+            self.test.assertFalse(ran)
+        if isinstance(outcome, JobFailed):
+            self.test.assertFalse(ran and outcome.not_run)
+        if isinstance(outcome, JobDone):
+            self.test.assertNotIn(None, outcome.results)
+
+    def check_state(self):
+        """Check slots, quotas and counts."""
+        dispatcher = self.driver.dispatcher
+        self.test.assertEqual(set(dispatcher.running), set(self.open))
+        teams = collections.Counter(r.team.name for r in dispatcher.running.values())
+        for name, use in dispatcher.quotas.teams.items():
+            self.test.assertEqual(use.running, teams[name])
+            self.test.assertLessEqual(use.running, QUOTAS[name])
+        for upstream in dispatcher.upstreams.values():
+            if self.policy in ("earliest_finish", "static_share"):
+                self.test.assertLessEqual(len(upstream.running), SLOTS)
+        waiting = sum(len(job.waiting) for job in dispatcher.jobs.values())
+        queued = sum(use.waiting for use in dispatcher.quotas.teams.values())
+        self.test.assertEqual(waiting, queued)
+        for pool in dispatcher.pools.values():
+            self.test.assertEqual(pool.queue.tasks(), waiting)
+
+    def finish(self):
+        """Let all deadlines pass; every job must then have its one outcome."""
+        self.driver.after(1000.0)
+        self.take(self.driver.effects)
+        self.test.assertEqual(set(self.finished), set(self.jobs))
+        self.test.assertEqual(self.driver.dispatcher.jobs, {})
+
+
+class PropertyTests(unittest.TestCase):
+    """Histories of submissions, answers, faults and changes."""
+
+    @PROFILE
+    @hypothesis.given(events, st.sampled_from(sorted(POLICIES)))
+    def test_every_history(self, history, policy):
+        """Guards against second starts, lost jobs, wrong counts and wrong `not_run`."""
+        checker = Checker(self, policy)
+        for event in history:
+            checker.step(event)
+        checker.finish()
+
+    @hypothesis.settings(PROFILE, max_examples=15)
+    @hypothesis.given(st.integers(0, 10_000))
+    def test_nobody_starves(self, seed):
+        """Guards against a job that waits while later ones always go first."""
+        rng = random.Random(seed)
+        driver = Driver(upstreams={"up-0": upstream_state(slots=2)})
+        classes = [item.name for item in CLASSES]
+        driver.submit("first", tasks=6, priority_class="batch", deadline=300)
+        pending = driver.starts()
+        done: set = set()
+        for number in range(900):
+            if len(driver.dispatcher.jobs) < 12:
+                driver.submit(
+                    f"job-{number}",
+                    tasks=rng.randint(1, 3),
+                    team=rng.choice(("bakery", "club")),
+                    priority_class=rng.choice(classes),
+                    deadline=300,
+                )
+                pending += driver.starts()
+            driver.now += 0.1
+            driver.answer(pending.pop(rng.randrange(len(pending))))
+            pending += driver.starts()
+            done |= {
+                e.submission_id for e in driver.effects if isinstance(e, JobFinished)
+            }
+        self.assertIn("first", done)
+
+    def test_a_change_of_ticket_keeps_waiting_jobs(self):
+        """Guards against jobs that a new state loses."""
+        driver = Driver(upstreams={"up-0": upstream_state(slots=1)})
+        driver.submit(tasks=3)
+        [start] = driver.starts()
+        driver.apply(ticket(2, upstreams={"up-1": upstream_state(slots=2)}))
+        names = [s.upstream for s in driver.starts()]
+        self.assertEqual(names, ["up-1", "up-1"])
+        driver.answer(start)
+        self.assertEqual(driver.finished(), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/core/carobramp_core/dispatch/upstreams.py
+++ b/packages/core/carobramp_core/dispatch/upstreams.py
@@ -26,6 +26,8 @@
 BACKOFF_MAX_S = 10.0
 REFUSED_MIN_S = 0.05
 REFUSED_MAX_S = 5.0
+# An upstream without measurements counts as this much faster, so that it is tried.
+EXPLORATION = 0.2
 MAX_SLOWDOWN = 10.0
 SUSPECT_PENALTY = 4.0
 # Cost of sharing an upstream: its estimate of free slots may be out of date.
@@ -170,6 +172,7 @@
         """Return the expected time for one unit of work; the least is best."""
         load = (len(self.running) + self.others_now(now) + 1) / self.slots()
         score = (1 + CONTENTION * load * load) / self.speed
+        score *= 1 - EXPLORATION / self.speed_samples
         return score * SUSPECT_PENALTY if self.guard.suspected(total) else score
 
     def take_report(self, report: UpstreamReport, now):
@@ -201,6 +204,7 @@
         if now - self.speed_at > SPEED_FORGET_AFTER_S:
             part = min(1.0, elapsed / SPEED_FORGET_S)
             self.speed_log += part * (self.hint - self.speed_log)
+            self.speed_samples = max(1, math.ceil(self.speed_samples * (1 - part)))
 
     def connect_failed(self, now):
         """Send nothing for a short time; longer after each connect failure."""
