--- a/packages/daemon/carobramp_daemon/daemon.py
+++ b/packages/daemon/carobramp_daemon/daemon.py
@@ -1,6 +1,7 @@
 """The daemon of an entry VM: starts the services and stops them gracefully."""
 
 import asyncio
+import random
 import secrets
 import signal
 
@@ -8,20 +9,27 @@
 
 from carobramp_core.submission.ids import IdIssuer
 from carobramp_daemon.api import CallerApi
+from carobramp_daemon.cancels import Canceller
 from carobramp_daemon.dispatch import DispatchService
+from carobramp_daemon.drain import Drain
+from carobramp_daemon.forwarded import ForwardHandlers
+from carobramp_daemon.forwards import Forwarder
+from carobramp_daemon.gate import Gate
 from carobramp_daemon.logs import Log
 from carobramp_daemon.membership import MembershipService
 from carobramp_daemon.metrics import Metrics
+from carobramp_daemon.operator import OperatorApi
 from carobramp_daemon.peers import PeerApi, PeerClients, PeerHandlers
 from carobramp_daemon.platform import PlatformClient
 from carobramp_daemon.submission import SubmissionService
+from carobramp_daemon.ticket_calls import TicketCalls
 from carobramp_daemon.tickets import TicketService
 from carobramp_daemon.upstreams import UpstreamClient
 from carobramp_schema.generated.settings import Settings
 
 INCARNATION_BYTES = 8
 KEY_BYTES = 16
-DRAIN_POLL_S = 0.05
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 class Daemon(Service):
@@ -31,6 +39,7 @@
         super().__init__()
         self.settings = settings
         self.metrics = Metrics()
+        self.gate = Gate()
         self.incarnation = secrets.token_hex(INCARNATION_BYTES)
         self.log_line = self.new_log("daemon")
         issuer = IdIssuer(
@@ -47,25 +56,79 @@
             settings, self.handlers, self.metrics, self.new_log("peer")
         )
         self.peers = PeerClients(settings, self.metrics, self.new_log("peer"))
+        self.control = PeerClients(settings, self.metrics, self.new_log("peer"))
+        self.dispatch = DispatchService(
+            settings, self.upstreams, self.job_finished, self.metrics
+        )
         self.membership = MembershipService(
             settings,
+            self.gate,
             self.platform,
-            self.peers,
+            self.control,
+            self.dispatch,
+            self.incarnation,
+            random.Random(),
             self.metrics,
             self.new_log("membership"),
         )
-        self.dispatch = DispatchService(
-            settings, self.upstreams, self.job_finished, self.metrics
+        submission_log = self.new_log("submission")
+        self.forwarder = Forwarder(
+            settings, self.peers, self.membership, self.metrics, submission_log
         )
         self.submissions = SubmissionService(
-            settings, issuer, self.dispatch, self.metrics, self.new_log("submission")
+            settings,
+            self.gate,
+            issuer,
+            self.dispatch,
+            self.forwarder,
+            self.platform,
+            lambda: self.tickets.ready,
+            self.metrics,
+            submission_log,
         )
+        forward_handlers = ForwardHandlers(self.submissions, self.metrics)
+        self.handlers.forward = forward_handlers.forward
+        self.handlers.cancel = forward_handlers.cancel
         self.tickets = TicketService(
-            settings, self.platform, self.dispatch, self.metrics, self.new_log("ticket")
+            settings,
+            self.platform,
+            self.membership,
+            self.control,
+            self.dispatch,
+            random.Random(),
+            self.metrics,
+            self.new_log("ticket"),
         )
+        self.connect_control()
         self.api = CallerApi(
-            settings, self.submissions, self.tickets, self.metrics, self.new_log("api")
+            settings,
+            self.gate,
+            self.submissions,
+            Canceller(self.submissions, self.forwarder, self.platform),
+            self.tickets,
+            self.metrics,
+            self.new_log("api"),
         )
+        self.drain = Drain(settings, self.gate, self.active, self.log_line)
+        self.api.operator = OperatorApi(
+            settings,
+            self.incarnation,
+            self.gate,
+            self.tickets,
+            self.membership,
+            self.dispatch,
+            self.drain,
+        )
+
+    def connect_control(self):
+        """Connect tickets, membership and the calls from peers."""
+        self.membership.tickets = self.tickets
+        self.membership.peer_port = lambda: self.peer_api.port
+        self.handlers.heartbeat = self.membership.on_heartbeat
+        calls = TicketCalls(self.tickets)
+        self.handlers.fetch_tickets = calls.on_fetch_tickets
+        self.handlers.fetch_state = calls.on_fetch_state
+        self.handlers.notify_ticket = calls.on_notify
 
     def job_finished(self, event):
         """Hand the outcome of a job to its submission."""
@@ -81,6 +144,7 @@
             self.platform,
             self.upstreams,
             self.peers,
+            self.control,
             self.dispatch,
             self.submissions,
             self.membership,
@@ -89,30 +153,23 @@
             self.api,
         ]
 
-    async def drain(self):
-        """Take no new jobs and wait for those under way."""
-        self.api.draining = True
-        self.log_line.info("draining")
-        await asyncio.sleep(self.settings.drain.drain_notice_ms / 1000)
-        self.api.accepting = False
-        try:
-            async with asyncio.timeout(self.settings.drain.drain_max_ms / 1000):
-                while self.dispatch.dispatcher.jobs:
-                    await asyncio.sleep(DRAIN_POLL_S)
-        except TimeoutError:
-            self.log_line.info("drain took too long")
+    def active(self):
+        """Return the number of jobs, requests and peer calls under way."""
+        jobs = len(self.submissions.registry.jobs)
+        return jobs + self.api.active.count + self.peer_api.active
 
 
 async def run_daemon(settings: Settings):
-    """Run the daemon until SIGTERM or SIGINT, then drain and stop it."""
+    """Run the daemon until a stop is asked for, then drain and stop it."""
     daemon = Daemon(settings)
-    stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+    for number in STOP_SIGNALS:
+        loop.add_signal_handler(number, daemon.drain.request, number.name)
     await daemon.start()
     for port in (daemon.api.port, daemon.peer_api.port):
         print(f"listening {settings.vm.host} {port}", flush=True)
-    await stop.wait()
-    await daemon.drain()
+    await daemon.drain.run()
     await daemon.stop()
+    # The event loop restores the default actions when it closes; a signal after
+    # that would end the process with the status of a kill.
+    signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
