Bound and retire upstream connections; never start after the deadline

Cause: sessions of removed upstreams stayed open, a changed address kept the old connections, an unexpected error left a task without outcome, and a pause between decision and start could start a task after its deadline. Change: endpoints by address that close after their last call; a check of the deadline before the request; only 200 carries a result; the inbox is a deque handled in turns, without a time-out object for each event. Checked: unittest test_path and test_upstream_faults: 16 passed.

--- a/packages/core/carobramp_core/dispatch/engine.py
+++ b/packages/core/carobramp_core/dispatch/engine.py
@@ -9,6 +9,7 @@
 starts after its deadline, however late the call is.
 """
 
+import dataclasses
 import functools
 import heapq
 import random
@@ -271,6 +272,11 @@
             for upstream in self.upstreams.values()
         ]
 
+    def view(self, now) -> dict[str, dict]:
+        """Return the fields of `upstream_status` by name, for the status page."""
+        rows = [dataclasses.asdict(row) for row in self.upstream_status(now)]
+        return {row.pop("name"): row for row in rows}
+
     def service_status(self) -> list[ServiceStatus]:
         """Return the waiting tasks of each service, by class."""
         return [
--- a/packages/daemon/carobramp_daemon/dispatch.py
+++ b/packages/daemon/carobramp_daemon/dispatch.py
@@ -1,6 +1,7 @@
 """Service that owns the dispatcher."""
 
 import asyncio
+import collections
 import functools
 import random
 import time
@@ -14,10 +15,13 @@
     JobFinished,
     Observe,
     StartTask,
+    StateInForce,
     Tick,
 )
 from carobramp_schema.generated.settings import Settings
 
+EVENTS_PER_TURN = 64
+
 
 class DispatchService(Service):
     """Feeds events to the dispatcher and carries out its effects.
@@ -41,33 +45,46 @@
         self.upstreams = upstreams
         self.on_finished = on_finished
         self.metrics = metrics
-        self.inbox: asyncio.Queue = asyncio.Queue()
+        self.inbox: collections.deque = collections.deque()
+        self.filled = asyncio.Event()
 
     def send(self, event):
         """Put an event into the inbox."""
-        self.inbox.put_nowait(event)
+        self.inbox.append(event)
+        self.filled.set()
 
     @Service.task
     async def handle_events(self):
         """Handle events and wake-ups until the service stops."""
         while not self.should_stop:
-            event = await self.next_event()
-            effects = self.dispatcher.handle(event, time.monotonic())
-            for effect in effects:
-                carry_out(effect, self)
-
-    async def next_event(self):
-        """Return the next event, or `Tick` when a wake-up is due."""
-        if not self.inbox.empty():
-            return self.inbox.get_nowait()
+            await self.wait()
+            for _ in range(EVENTS_PER_TURN):
+                if not self.inbox:
+                    break
+                self.handle(self.inbox.popleft())
+            # The sockets get their turn also while the inbox is never empty.
+            await asyncio.sleep(0)
+
+    def handle(self, event):
+        """Handle one event and carry out the effects."""
+        for effect in self.dispatcher.handle(event, time.monotonic()):
+            carry_out(effect, self)
+        if isinstance(event, StateInForce):
+            self.upstreams.keep_only(event.state.upstreams)
+
+    async def wait(self):
+        """Wait for an event; put a `Tick` into the inbox when a wake-up is due."""
+        if self.inbox:
+            return
+        self.filled.clear()
         now = time.monotonic()
         wakeup = self.dispatcher.next_wakeup(now)
         timeout = None if wakeup is None else max(0.0, wakeup - now)
         try:
             async with asyncio.timeout(timeout):
-                return await self.inbox.get()
+                await self.filled.wait()
         except TimeoutError:
-            return Tick()
+            self.inbox.append(Tick())
 
 
 @functools.singledispatch
--- a/packages/daemon/carobramp_daemon/upstreams.py
+++ b/packages/daemon/carobramp_daemon/upstreams.py
@@ -1,9 +1,11 @@
 """HTTP client of the upstreams."""
 
 import asyncio
+import time
 
 import aiohttp
 from mode import Service
+from yarl import URL
 
 from carobramp_core.dispatch.messages import (
     CancelTask,
@@ -19,12 +21,47 @@
 from carobramp_schema import InvalidInput, decode, encode
 from carobramp_schema.generated.upstream import TaskAnswer, TaskRequest
 
+HTTP_OK = 200
 HTTP_REFUSED = 503
 KEEPALIVE_S = 10
 CANCEL_TIMEOUT_S = 2.0
 READ_CHUNK_BYTES = 65536
 REFUSALS = {"busy": RetryReason.REFUSED_BUSY, "leaving": RetryReason.REFUSED_LEAVING}
-HEADERS = {"Content-Type": "application/json"}
+HEADERS = {"Content-Type": "application/json", "Accept-Encoding": "identity"}
+
+
+class Endpoint:
+    """Connections to one address of an upstream.
+
+    A retired endpoint gets no new tasks and closes when its last call ends.
+    """
+
+    def __init__(self, host, port, connections):
+        self.address = (host, port)
+        self.connections = connections
+        self.tasks_url = URL.build(
+            scheme="http", host=host, port=port, path="/v1/tasks"
+        )
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=connections, keepalive_timeout=KEEPALIVE_S
+            ),
+            headers=HEADERS,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            trust_env=False,
+        )
+        self.calls = 0
+        self.retired = False
+
+    def serves(self, host, port, connections):
+        """Whether the endpoint is for this address and bound on connections."""
+        return self.address == (host, port) and self.connections == connections
+
+    async def release(self):
+        """End a call; close when no other is under way at a retired endpoint."""
+        self.calls -= 1
+        if self.retired and not self.calls:
+            await self.session.close()
 
 
 class UpstreamClient(Service):
@@ -39,15 +76,16 @@
         self.settings = settings
         self.metrics = metrics
         self.log_line = log
-        self.sessions: dict[str, aiohttp.ClientSession] = {}
+        self.endpoints: dict[str, Endpoint] = {}
+        self.retired: set[Endpoint] = set()
         self.calls: set[asyncio.Task] = set()
 
     async def on_stop(self):
         """End calls under way and close the connections."""
-        for call in self.calls:
+        for call in list(self.calls):
             call.cancel()
-        for session in self.sessions.values():
-            await session.close()
+        for endpoint in [*self.endpoints.values(), *self.retired]:
+            await endpoint.session.close()
 
     def start_task(self, start: StartTask, answer):
         """Send a task; `answer` is called with `TaskAnswered` once."""
@@ -64,42 +102,60 @@
         self.calls.add(call)
         call.add_done_callback(self.calls.discard)
 
-    def session(self, upstream, connections):
-        """Return the session of an upstream, with its bound on connections."""
-        session = self.sessions.get(upstream)
-        if session is None:
-            connector = aiohttp.TCPConnector(
-                limit=connections, keepalive_timeout=KEEPALIVE_S
-            )
-            session = aiohttp.ClientSession(
-                connector=connector,
-                headers=HEADERS,
-                cookie_jar=aiohttp.DummyCookieJar(),
-            )
-            self.sessions[upstream] = session
-        return session
+    def endpoint(self, name, host, port, connections):
+        """Return the endpoint of an upstream; a new address gets a new one."""
+        endpoint = self.endpoints.get(name)
+        if endpoint is not None and endpoint.serves(host, port, connections):
+            return endpoint
+        if endpoint is not None:
+            self.retire(name)
+        endpoint = self.endpoints[name] = Endpoint(host, port, connections)
+        return endpoint
+
+    def retire(self, name):
+        """Close the endpoint of an upstream when its last call ends."""
+        endpoint = self.endpoints.pop(name)
+        endpoint.retired = True
+        endpoint.calls += 1
+        self.retired.add(endpoint)
+        self.spawn(self.release(endpoint))
+
+    async def release(self, endpoint):
+        """End a call at an endpoint."""
+        await endpoint.release()
+        if endpoint.session.closed:
+            self.retired.discard(endpoint)
+
+    def keep_only(self, names):
+        """Retire the endpoints of upstreams that are not in `names`."""
+        for name in [name for name in self.endpoints if name not in names]:
+            self.retire(name)
 
     async def run_task(self, start: StartTask, answer):
         """Send one task and report its outcome."""
-        outcome, report = await self.post_task(start)
+        endpoint = self.endpoint(
+            start.upstream, start.host, start.port, start.connections
+        )
+        endpoint.calls += 1
+        try:
+            outcome, report = await self.post_task(endpoint, start)
+        except Exception as error:  # an answer is owed whatever happened
+            outcome, report = TaskUnknown(repr(error)), None
         if isinstance(outcome, TaskUnknown):
-            detail = outcome.detail
             self.log_line.info(
                 "outcome unknown",
                 job=start.task_id.submission_id,
                 upstream=start.upstream,
-                detail=detail,
+                detail=outcome.detail,
             )
         answer(TaskAnswered(start.task_id, start.upstream, outcome, report))
+        await self.release(endpoint)
 
-    async def post_task(self, start: StartTask):
+    async def post_task(self, endpoint, start: StartTask):
         """Send one task; return its outcome and the upstream's report."""
-        session = self.session(start.upstream, start.connections)
-        timeout = aiohttp.ClientTimeout(
-            total=start.timeout,
-            connect=self.settings.dispatch.connect_timeout_ms / 1000,
-        )
-        url = f"http://{start.host}:{start.port}/v1/tasks"
+        if time.monotonic() >= start.deadline:
+            # The process was paused between the decision and the start.
+            return TaskNotStarted(RetryReason.REFUSED_OTHER, "deadline passed"), None
         request = TaskRequest(
             task_id=str(start.task_id),
             service=start.service,
@@ -107,13 +163,21 @@
             run_ms=start.run_ms,
             timeout_ms=start.timeout * 1000,
         )
+        timeout = aiohttp.ClientTimeout(
+            total=start.timeout,
+            connect=self.settings.dispatch.connect_timeout_ms / 1000,
+        )
         try:
-            async with session.post(
-                url, data=encode(request), timeout=timeout, allow_redirects=False
+            async with endpoint.session.post(
+                endpoint.tasks_url,
+                data=encode(request),
+                timeout=timeout,
+                allow_redirects=False,
             ) as response:
                 data = await self.read_answer(response)
                 return self.interpret(request.task_id, response.status, data)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            # Both are raised before a connection is there to write the request to.
             self.metrics.count("wasted_messages", Waste.CONNECT_FAILED)
             return TaskNotStarted(RetryReason.CONNECT_FAILED, str(error)), None
         except (aiohttp.ClientError, TimeoutError) as error:
@@ -122,6 +186,9 @@
     async def read_answer(self, response):
         """Return the body, or None when it is over the bound."""
         limit = self.settings.limits.max_answer_bytes
+        if (response.content_length or 0) > limit:
+            response.close()
+            return None
         data = bytearray()
         async for chunk in response.content.iter_chunked(READ_CHUNK_BYTES):
             data += chunk
@@ -145,14 +212,15 @@
 
     async def send_cancel(self, cancel: CancelTask):
         """Send one cancel message."""
-        url = f"http://{cancel.host}:{cancel.port}/v1/tasks/{cancel.task_id}/cancel"
-        session = self.sessions.get(cancel.upstream)
-        if session is None:
+        endpoint = self.running_endpoint(cancel)
+        if endpoint is None:
             return
+        endpoint.calls += 1
+        url = endpoint.tasks_url / str(cancel.task_id) / "cancel"
         timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S)
         try:
-            async with session.post(url, timeout=timeout):
-                return
+            async with endpoint.session.post(url, timeout=timeout) as response:
+                await response.read()
         except (aiohttp.ClientError, TimeoutError) as error:
             self.log_line.info(
                 "cancel failed",
@@ -160,6 +228,16 @@
                 upstream=cancel.upstream,
                 detail=repr(error),
             )
+        await self.release(endpoint)
+
+    def running_endpoint(self, cancel: CancelTask):
+        """Return the endpoint at which a task runs; also a retired one."""
+        address = (cancel.host, cancel.port)
+        current = self.endpoints.get(cancel.upstream)
+        for endpoint in [current, *self.retired]:
+            if endpoint is not None and endpoint.address == address:
+                return endpoint
+        return None
 
 
 def outcome_of(message: TaskAnswer, status):
@@ -167,6 +245,8 @@
     if message.status == "refused" and status == HTTP_REFUSED:
         reason = REFUSALS.get(message.error, RetryReason.REFUSED_OTHER)
         return TaskNotStarted(reason, message.error)
+    if status != HTTP_OK:
+        return TaskUnknown(f"status {status} with `{message.status}`")
     if message.status == "done":
         return TaskDone(message.result, message.run_ms)
     if message.status == "failed":
