--- a/packages/daemon/carobramp_daemon/platform_replies.py
+++ b/packages/daemon/carobramp_daemon/platform_replies.py
@@ -71,6 +71,10 @@
 
 def read_reply(data: bytes, kind):
     """Return the checked reply, or `InvalidInput`."""
+    try:
+        data.decode()  # The decoder skips unknown fields without looking at them.
+    except UnicodeDecodeError as error:
+        return InvalidInput("$", "UTF-8", str(error)[:80])
     reply = decode(data, kind)
     return _host_fault(reply) or reply if isinstance(reply, VmsReply) else reply
 
