Survive malformed input on every port and answer it with problem details

Faults found by the new tests: a result nested close to the recursion limit was accepted and its job then ended in a plain 500; the HTTP layer's own errors were plain text; messages between entry VMs had no bound at all, since grpclib reads whatever size a prefix states, and max_peer_message_bytes was read nowhere; an OSError or ValueError of the HTTP client would have left a task without an outcome and its slot taken. Tracebacks of libraries become one log line each.

--- a/packages/daemon/carobramp_daemon/api.py
+++ b/packages/daemon/carobramp_daemon/api.py
@@ -47,7 +47,10 @@
         """Listen for callers."""
         app = web.Application(
             client_max_size=self.settings.limits.max_body_bytes,
-            middlewares=[self.active.track, render_errors],
+            middlewares=[
+                self.active.track,
+                render_errors(self.metrics, self.log_line),
+            ],
         )
         app.router.add_post("/v1/submission-ids", self.issue_ids)
         app.router.add_post("/v1/jobs", self.submit_job)
--- a/packages/daemon/carobramp_daemon/logs.py
+++ b/packages/daemon/carobramp_daemon/logs.py
@@ -1,9 +1,11 @@
 """Log lines by eliot: short sentences with a fixed prefix for each part."""
 
+import logging
 import sys
 
 import eliot
 
+DETAIL_MAX_CHARS = 500
 PREFIXES = (
     "api",
     "submission",
@@ -39,6 +41,29 @@
         eliot.log_message(message_type=message, vm=self.vm, **fields)
 
 
-def log_to_stderr():
+class LibraryHandler(logging.Handler):
+    """Writes what a library reports as one log line, without its traceback.
+
+    A peer or caller that sends garbage makes a library report an exception; a
+    traceback for each would drown the log.
+    """
+
+    def __init__(self, vm):
+        super().__init__(logging.WARNING)
+        self.log_line = Log("daemon", vm)
+
+    def emit(self, record):
+        """Write one report."""
+        error = record.exc_info[1] if record.exc_info else None
+        self.log_line.info(
+            "library report",
+            library=record.name,
+            detail=record.getMessage()[:DETAIL_MAX_CHARS],
+            error=repr(error)[:DETAIL_MAX_CHARS] if error else "",
+        )
+
+
+def log_to_stderr(vm):
     """Send log lines to standard error, one JSON object a line."""
     eliot.to_file(sys.stderr)
+    logging.basicConfig(handlers=[LibraryHandler(vm)])
--- a/packages/daemon/carobramp_daemon/main.py
+++ b/packages/daemon/carobramp_daemon/main.py
@@ -1,7 +1,6 @@
 """Command line of `carobrampd`."""
 
 import asyncio
-import logging
 import sys
 
 from absl import flags
@@ -42,8 +41,7 @@
         return EXIT_INVALID
     if FLAGS.check:
         return 0
-    log_to_stderr()
-    logging.getLogger("mode").setLevel(logging.WARNING)
+    log_to_stderr(settings.vm.name)
     asyncio.run(run_daemon(settings))
     return 0
 
--- a/packages/daemon/carobramp_daemon/middleware.py
+++ b/packages/daemon/carobramp_daemon/middleware.py
@@ -6,6 +6,8 @@
 from carobramp_daemon.problems import problem, problem_response
 
 HTTP_ERRORS = 400
+HTTP_INTERNAL_ERROR = 500
+DETAIL_MAX_CHARS = 512
 
 
 class ActiveRequests:
@@ -32,17 +34,36 @@
             self.count -= 1
 
 
-@web.middleware
-async def render_errors(request, handler):
-    """Answer errors of routing and of the HTTP layer as problem details."""
-    try:
-        return await handler(request)
-    except web.HTTPException as error:
-        if error.status < HTTP_ERRORS:
-            raise
-        detail = f"{error.reason}: {request.method} {request.path}"
-        details = problem(Reason.MALFORMED_REQUEST, detail[:512], status=error.status)
-        response = problem_response(details)
-        if "Allow" in error.headers:
-            response.headers["Allow"] = error.headers["Allow"]
-        return response
+def render_errors(metrics, log):
+    """Return the middleware that answers errors as problem details."""
+
+    @web.middleware
+    async def render(request, handler):
+        try:
+            return await handler(request)
+        except web.HTTPException as error:
+            if error.status < HTTP_ERRORS:
+                raise
+            return http_problem(request, error, metrics)
+        except Exception as error:
+            log.info("handler failed", path=request.path, error=repr(error))
+            metrics.count("refusals", Reason.OUTCOME_UNKNOWN)
+            details = problem(
+                Reason.OUTCOME_UNKNOWN, "internal error", status=HTTP_INTERNAL_ERROR
+            )
+            return problem_response(details)
+
+    return render
+
+
+def http_problem(request, error, metrics):
+    """Return the problem details for an error of routing or of the HTTP layer."""
+    detail = f"{error.reason}: {request.method} {request.path}"
+    metrics.count("refusals", Reason.MALFORMED_REQUEST)
+    details = problem(
+        Reason.MALFORMED_REQUEST, detail[:DETAIL_MAX_CHARS], status=error.status
+    )
+    response = problem_response(details)
+    if "Allow" in error.headers:
+        response.headers["Allow"] = error.headers["Allow"]
+    return response
--- a/packages/daemon/carobramp_daemon/peers.py
+++ b/packages/daemon/carobramp_daemon/peers.py
@@ -5,10 +5,14 @@
 from collections.abc import Awaitable, Callable
 
 import grpclib.exceptions
+from google.protobuf.message import DecodeError
 from grpclib.client import Channel
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
 from grpclib.server import Server
 from mode import Service
 
+from carobramp_daemon.peer_bounds import bound_messages
 from carobramp_schema.generated import peer_grpc
 from carobramp_schema.generated.settings import Settings
 
@@ -70,7 +74,7 @@
 
     async def answer(self, stream, call, handler):
         """Answer one unary call by its handler."""
-        request = await stream.recv_message()
+        request = await self.receive(stream)
         self.active += 1
         try:
             reply = await handler(request)
@@ -79,6 +83,14 @@
         finally:
             self.active -= 1
 
+    async def receive(self, stream):
+        """Receive the request of a call, within the bound on its size."""
+        bound_messages(stream, self.settings.limits.max_peer_message_bytes)
+        request = await stream.recv_message()
+        if request is None:
+            raise GRPCError(Status.INVALID_ARGUMENT, "the call has no message")
+        return request
+
     def count(self, call, *messages):
         """Count messages and their bytes."""
         size = sum(message.ByteSize() for message in messages)
@@ -103,7 +115,7 @@
 
     async def FetchState(self, stream):
         """Stream the state in force."""
-        request = await stream.recv_message()
+        request = await self.receive(stream)
         chunks = await self.handlers.fetch_state(request)
         self.count("fetch_state", request, *chunks)
         for chunk in chunks:
@@ -155,8 +167,10 @@
         """
         method = getattr(self.stub(address), call)
         try:
-            async with asyncio.timeout(timeout):
-                reply = await method(request)
+            async with asyncio.timeout(timeout), method.open() as stream:
+                await stream.send_message(request, end=True)
+                bound_messages(stream, self.settings.limits.max_peer_message_bytes)
+                reply = await stream.recv_message()
         except ConnectionRefusedError as error:
             return PeerUnreachable(repr(error), maybe_received=False)
         except (
@@ -165,8 +179,12 @@
             grpclib.exceptions.GRPCError,
             grpclib.exceptions.StreamTerminatedError,
             grpclib.exceptions.ProtocolError,
+            DecodeError,
+            AssertionError,
         ) as error:
             return PeerUnreachable(repr(error), maybe_received=True)
+        if reply is None:
+            return PeerUnreachable("no reply message", maybe_received=True)
         self.count(call, request, reply)
         return reply
 
@@ -182,6 +200,8 @@
             grpclib.exceptions.GRPCError,
             grpclib.exceptions.StreamTerminatedError,
             grpclib.exceptions.ProtocolError,
+            DecodeError,
+            AssertionError,
         ) as error:
             return PeerUnreachable(repr(error), maybe_received=True)
         self.count(call, request, *replies)
--- a/packages/daemon/carobramp_daemon/upstreams.py
+++ b/packages/daemon/carobramp_daemon/upstreams.py
@@ -100,23 +100,27 @@
             connect=self.settings.dispatch.connect_timeout_ms / 1000,
         )
         url = f"http://{start.host}:{start.port}/v1/tasks"
-        request = TaskRequest(
+        message = TaskRequest(
             task_id=str(start.task_id),
             service=start.service,
             payload=start.payload,
             run_ms=start.run_ms,
             timeout_ms=start.timeout * 1000,
         )
+        try:
+            body = encode(message)
+        except RecursionError:
+            return TaskFailed("the payload is nested too deeply", 0.0), None
         try:
             async with session.post(
-                url, data=encode(request), timeout=timeout, allow_redirects=False
+                url, data=body, timeout=timeout, allow_redirects=False
             ) as response:
                 data = await self.read_answer(response)
-                return self.interpret(request.task_id, response.status, data)
+                return self.interpret(message.task_id, response.status, data)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             self.metrics.count("wasted_messages", Waste.CONNECT_FAILED)
             return TaskNotStarted(RetryReason.CONNECT_FAILED, str(error)), None
-        except (aiohttp.ClientError, TimeoutError) as error:
+        except (aiohttp.ClientError, OSError, ValueError) as error:
             return TaskUnknown(repr(error)), None
 
     async def read_answer(self, response):
@@ -151,9 +155,9 @@
             return
         timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S)
         try:
-            async with session.post(url, timeout=timeout):
+            async with session.post(url, timeout=timeout, allow_redirects=False):
                 return
-        except (aiohttp.ClientError, TimeoutError) as error:
+        except (aiohttp.ClientError, OSError, ValueError) as error:
             self.log_line.info(
                 "cancel failed",
                 job=cancel.task_id.submission_id,
--- a/packages/schema/carobramp_schema/decode.py
+++ b/packages/schema/carobramp_schema/decode.py
@@ -10,6 +10,9 @@
 T = TypeVar("T")
 
 SEEN_MAX_CHARS = 80
+# Input with so few brackets is far from the interpreter's recursion limit of 1000.
+SAFE_BRACKETS = 500
+NESTING_RESERVE = 64
 _PATH = re.compile(r"^(?P<what>.*?)(?: - at `(?P<path>.*)`)?$", re.DOTALL)
 _UNKNOWN = re.compile(r"^Object contains unknown field `(?P<name>.*)`$")
 _MISSING = re.compile(r"^Object missing required field `(?P<name>.*)`$")
@@ -51,11 +54,14 @@
     $.count: expected `int` >= 1, saw 0
     """
     try:
-        return msgspec.json.decode(data, type=kind)
+        message = msgspec.json.decode(data, type=kind)
     except msgspec.ValidationError as error:
         return _describe(str(error), _parse_any(data), kind)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         return InvalidInput("$", "a JSON document", _shorten(str(error)))
+    if _nests_too_deeply(data, message):
+        return InvalidInput("$", "JSON nested less deeply", "too many levels")
+    return message
 
 
 def convert(value: Any, kind: type[T]) -> T | InvalidInput:
@@ -84,6 +90,23 @@
         return None
 
 
+def _nests_too_deeply(data, message):
+    """Whether values of the message might be too deep to be sent on.
+
+    Decoding and encoding have the same limit, and a value is sent on inside other
+    messages and from deeper calls than the one that decoded it.
+    """
+    if data.count(b"[") + data.count(b"{") <= SAFE_BRACKETS:
+        return False
+    for _ in range(NESTING_RESERVE):
+        message = [message]
+    try:
+        msgspec.json.encode(message)
+    except RecursionError:
+        return True
+    return False
+
+
 def _shorten(text):
     if len(text) <= SEEN_MAX_CHARS:
         return text
--- a/packages/schema/carobramp_schema/settings.py
+++ b/packages/schema/carobramp_schema/settings.py
@@ -9,6 +9,8 @@
 
 # A heartbeat that is late by half its interval must not end liveness.
 LIVE_PER_HEARTBEAT = 1.5
+# Room for the fields of a forwarded job beside its body.
+FORWARD_HEAD_BYTES = 4096
 
 
 def load_settings(path: str) -> Settings | list[InvalidInput]:
@@ -98,7 +100,14 @@
     members = settings.membership
     submission = settings.submission
     dispatch = settings.dispatch
+    limits = settings.limits
     least = [
+        (
+            "$.limits.max_peer_message_bytes",
+            limits.max_peer_message_bytes,
+            limits.max_body_bytes + FORWARD_HEAD_BYTES,
+            "max_body_bytes and 4096, for forwarded jobs",
+        ),
         (
             "$.membership.live_ms",
             members.live_ms,
@@ -149,7 +158,7 @@
         ),
     ]
     return [
-        InvalidInput(field, f"at least {bound:g} ({name})", str(value))
+        InvalidInput(field, f"at least {bound} ({name})", str(value))
         for field, value, bound, name in least
         if value < bound
     ]
--- a/packages/schema/carobramp_schema/settings_page.py
+++ b/packages/schema/carobramp_schema/settings_page.py
@@ -23,6 +23,7 @@
 of the VM differ; `live_ms` and `far_live_ms` are at least 1.5 times the heartbeat
 interval; `far_live_ms` is not below `live_ms`, nor `forget_ms` below `far_live_ms`;
 `claim_kept_ms` is at least twice the time for which an id can start work;
+`max_peer_message_bytes` is at least `max_body_bytes` and 4096;
 `far_network_ms` is not below `network_ms`, `stale_after_ms` not below
 `head_poll_ms`, nor `drain_max_ms` below `drain_notice_ms`. `examples/` holds the
 settings of two deployments.
--- a/packages/schema/carobramp_schema/tests/test_settings.py
+++ b/packages/schema/carobramp_schema/tests/test_settings.py
@@ -46,6 +46,7 @@
             "$.platform.timeout_ms": {"platform": {"timeout_ms": "1000"}},
             "$.platform.max_calls": {"platform": {"max_calls": 1.5}},
             "$.limits": {"limits": []},
+            "$.limits.max_peer_message_bytes": {"limits": {"max_body_bytes": 4 << 20}},
             "$.limits.max_jobs": {"limits": {"max_jobs": True}},
             "$.peers": {"peers": {}},
             "$.peers[0]": {"peers": [None]},
