--- a/packages/daemon/carobramp_daemon/daemon.py
+++ b/packages/daemon/carobramp_daemon/daemon.py
@@ -1,6 +1,7 @@
 """The daemon of an entry VM: starts the services and stops them gracefully."""
 
 import asyncio
+import random
 import secrets
 import signal
 
@@ -8,8 +9,12 @@
 
 from carobramp_core.submission.ids import IdIssuer
 from carobramp_daemon.api import CallerApi
+from carobramp_daemon.cancels import Canceller
 from carobramp_daemon.dispatch import DispatchService
 from carobramp_daemon.drain import Drain
+from carobramp_daemon.forwarded import ForwardHandlers
+from carobramp_daemon.forwards import Forwarder
+from carobramp_daemon.gate import Gate
 from carobramp_daemon.logs import Log
 from carobramp_daemon.membership import MembershipService
 from carobramp_daemon.metrics import Metrics
@@ -17,6 +22,7 @@
 from carobramp_daemon.peers import PeerApi, PeerClients, PeerHandlers
 from carobramp_daemon.platform import PlatformClient
 from carobramp_daemon.submission import SubmissionService
+from carobramp_daemon.ticket_calls import TicketCalls
 from carobramp_daemon.tickets import TicketService
 from carobramp_daemon.upstreams import UpstreamClient
 from carobramp_schema.generated.settings import Settings
@@ -33,6 +39,7 @@
         super().__init__()
         self.settings = settings
         self.metrics = Metrics()
+        self.gate = Gate()
         self.incarnation = secrets.token_hex(INCARNATION_BYTES)
         self.log_line = self.new_log("daemon")
         issuer = IdIssuer(
@@ -49,37 +56,80 @@
             settings, self.handlers, self.metrics, self.new_log("peer")
         )
         self.peers = PeerClients(settings, self.metrics, self.new_log("peer"))
+        self.control = PeerClients(settings, self.metrics, self.new_log("peer"))
+        self.dispatch = DispatchService(
+            settings, self.upstreams, self.job_finished, self.metrics
+        )
         self.membership = MembershipService(
             settings,
+            self.gate,
             self.platform,
-            self.peers,
+            self.control,
+            self.dispatch,
+            self.incarnation,
+            random.Random(),
             self.metrics,
             self.new_log("membership"),
         )
-        self.dispatch = DispatchService(
-            settings.dispatch, self.upstreams, self.job_finished, self.metrics
+        submission_log = self.new_log("submission")
+        self.forwarder = Forwarder(
+            settings, self.peers, self.membership, self.metrics, submission_log
         )
         self.submissions = SubmissionService(
-            settings, issuer, self.dispatch, self.metrics, self.new_log("submission")
+            settings,
+            self.gate,
+            issuer,
+            self.dispatch,
+            self.forwarder,
+            self.platform,
+            lambda: self.tickets.ready,
+            self.metrics,
+            submission_log,
         )
+        forward_handlers = ForwardHandlers(self.submissions, self.metrics)
+        self.handlers.forward = forward_handlers.forward
+        self.handlers.cancel = forward_handlers.cancel
         self.tickets = TicketService(
-            settings, self.platform, self.dispatch, self.metrics, self.new_log("ticket")
+            settings,
+            self.platform,
+            self.membership,
+            self.control,
+            self.dispatch,
+            random.Random(),
+            self.metrics,
+            self.new_log("ticket"),
         )
+        self.connect_control()
         self.api = CallerApi(
-            settings, self.submissions, self.tickets, self.metrics, self.new_log("api")
+            settings,
+            self.gate,
+            self.submissions,
+            Canceller(self.submissions, self.forwarder, self.platform),
+            self.tickets,
+            self.metrics,
+            self.new_log("api"),
         )
-        self.submissions.accepts_new = lambda: self.api.accepting
-        self.drain = Drain(settings, self.api, self.active, self.log_line)
+        self.drain = Drain(settings, self.gate, self.active, self.log_line)
         self.api.operator = OperatorApi(
             settings,
             self.incarnation,
-            self.api,
+            self.gate,
             self.tickets,
             self.membership,
             self.dispatch,
             self.drain,
         )
 
+    def connect_control(self):
+        """Connect tickets, membership and the calls from peers."""
+        self.membership.tickets = self.tickets
+        self.membership.peer_port = lambda: self.peer_api.port
+        self.handlers.heartbeat = self.membership.on_heartbeat
+        calls = TicketCalls(self.tickets)
+        self.handlers.fetch_tickets = calls.on_fetch_tickets
+        self.handlers.fetch_state = calls.on_fetch_state
+        self.handlers.notify_ticket = calls.on_notify
+
     def job_finished(self, event):
         """Hand the outcome of a job to its submission."""
         self.submissions.finished(event)
@@ -94,6 +144,7 @@
             self.platform,
             self.upstreams,
             self.peers,
+            self.control,
             self.dispatch,
             self.submissions,
             self.membership,
@@ -104,7 +155,7 @@
 
     def active(self):
         """Return the number of jobs, requests and peer calls under way."""
-        jobs = len(self.dispatch.dispatcher.jobs)
+        jobs = len(self.submissions.registry.jobs)
         return jobs + self.api.active.count + self.peer_api.active
 
 
--- a/packages/daemon/carobramp_daemon/peers.py
+++ b/packages/daemon/carobramp_daemon/peers.py
@@ -57,6 +57,7 @@
         self.log_line = log
         self.server: Server
         self.port = 0
+        # Forwarded jobs whose answer is not sent yet; the drain waits for them.
         self.active = 0
 
     async def on_start(self):
@@ -75,13 +76,9 @@
     async def answer(self, stream, call, handler):
         """Answer one unary call by its handler."""
         request = await self.receive(stream)
-        self.active += 1
-        try:
-            reply = await handler(request)
-            self.count(call, request, reply)
-            await stream.send_message(reply)
-        finally:
-            self.active -= 1
+        reply = await handler(request)
+        self.count(call, request, reply)
+        await stream.send_message(reply)
 
     async def receive(self, stream):
         """Receive the request of a call, within the bound on its size."""
@@ -103,7 +100,11 @@
 
     async def Forward(self, stream):
         """Run a job that this process owns."""
-        await self.answer(stream, "forward", self.handlers.forward)
+        self.active += 1
+        try:
+            await self.answer(stream, "forward", self.handlers.forward)
+        finally:
+            self.active -= 1
 
     async def Cancel(self, stream):
         """Cancel a job that this process owns."""
@@ -188,12 +189,23 @@
         self.count(call, request, reply)
         return reply
 
-    async def stream(self, address, call, request, timeout):
-        """Send a call with streamed replies; return them or `PeerUnreachable`."""
+    async def stream(self, address, call, request, timeout, max_bytes):
+        """Send a call with streamed replies; return them or `PeerUnreachable`.
+
+        Replies over `max_bytes` together are given up.
+        """
         method = getattr(self.stub(address), call)
+        replies, size = [], 0
         try:
-            async with asyncio.timeout(timeout):
-                replies = await method(request)
+            async with asyncio.timeout(timeout), method.open() as stream:
+                await stream.send_message(request, end=True)
+                bound_messages(stream, max_bytes)
+                async for reply in stream:
+                    size += reply.ByteSize()
+                    if size > max_bytes:
+                        detail = f"replies over {max_bytes} bytes"
+                        return PeerUnreachable(detail, maybe_received=True)
+                    replies.append(reply)
         except (
             OSError,
             TimeoutError,
