--- a/packages/daemon/carobramp_daemon/api.py
+++ b/packages/daemon/carobramp_daemon/api.py
@@ -54,7 +54,7 @@
         self.port = 0
         self.runner = None
         self.operator: OperatorApi | None = None
-        self.active = ActiveRequests(gate)
+        self.active = ActiveRequests(gate, metrics)
 
     async def on_start(self):
         """Listen for callers."""
@@ -146,10 +146,17 @@
             deadline=received + message.deadline_ms / 1000,
         )
         answer = await self.submissions.submit(submission)
-        kind = message.priority_class
+        kind = self.class_of(message)
         self.metrics.observe("response_ms", kind, (time.monotonic() - received) * 1000)
         return response_of(answer)
 
+    def class_of(self, message):
+        """Return the class of a job, or ``unknown``, since callers choose names."""
+        service = self.tickets.in_force.service(message.service)
+        known = {item.name for item in service.classes} if service else ()
+        name = message.priority_class
+        return name if name in known else "unknown"
+
     async def cancel_job(self, request):
         """Cancel a job here or at its owner.
 
--- a/packages/daemon/carobramp_daemon/metrics.py
+++ b/packages/daemon/carobramp_daemon/metrics.py
@@ -1,10 +1,14 @@
 """OpenTelemetry metrics and their text exposition."""
 
+import itertools
+
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 
+from carobramp_core.outcomes import Reason, RetryReason, Waste
+
 COUNTERS = {
-    "requests": "Requests by kind.",
+    "requests": "HTTP requests by method and route.",
     "jobs": "Jobs by result.",
     "refusals": "Refusals and failures by reason.",
     "retries": "Retries by reason.",
@@ -26,7 +30,17 @@
     "jobs_running": "Jobs under way.",
     "live_peers": "Live entry VMs, without this one.",
 }
+# Kinds that are shown with 0 before their first use, so that a rate can be taken
+# over the first one.
+KNOWN_KINDS = {
+    "refusals": tuple(Reason),
+    "retries": tuple(RetryReason),
+    "wasted_messages": tuple(Waste),
+    "jobs": ("done", "refused", "failed"),
+}
 KIND = "kind"
+# Kind of the values that the library no longer tells apart.
+OVERFLOW = "other"
 EXPOSITION_PREFIX = "carobramp_"
 
 
@@ -42,6 +56,9 @@
             n: meter.create_histogram(n, "ms", d) for n, d in HISTOGRAMS.items()
         }
         self.gauges = {n: meter.create_gauge(n, "", d) for n, d in GAUGES.items()}
+        for counter, kinds in KNOWN_KINDS.items():
+            for kind in kinds:
+                self.count(counter, kind, 0)
 
     def count(self, counter, kind, amount=1):
         """Add to a counter."""
@@ -57,27 +74,60 @@
 
     def exposition(self):
         """Return all values in the text exposition format."""
-        data = self.reader.get_metrics_data()
+        points = _points_by_name(self.reader.get_metrics_data())
         lines = []
-        for metric in _metrics_of(data):
-            name = EXPOSITION_PREFIX + metric.name
-            lines.append(f"# HELP {name} {metric.description}")
-            for point in metric.data.data_points:
-                lines.extend(_point_lines(name, point))
+        for kind, metrics in EXPOSED.items():
+            for name, description in metrics.items():
+                full = EXPOSITION_PREFIX + name
+                lines.append(f"# HELP {full} {_escape(description)}")
+                lines.append(f"# TYPE {full} {kind}")
+                for point in points.get(name, ()):
+                    lines.extend(_point_lines(full, point))
         return "\n".join(lines) + "\n"
 
 
-def _metrics_of(data):
+EXPOSED = {"counter": COUNTERS, "histogram": HISTOGRAMS, "gauge": GAUGES}
+
+
+def _points_by_name(data):
     if data is None:
-        return
-    for resource in data.resource_metrics:
-        for scope in resource.scope_metrics:
-            yield from scope.metrics
+        return {}
+    return {
+        metric.name: metric.data.data_points
+        for resource in data.resource_metrics
+        for scope in resource.scope_metrics
+        for metric in scope.metrics
+    }
 
 
 def _point_lines(name, point):
-    label = point.attributes.get(KIND)
-    labels = f'{{{KIND}="{label}"}}' if label is not None else ""
+    labels = _labels_of(point)
     if hasattr(point, "value"):
-        return [f"{name}{labels} {point.value}"]
-    return [f"{name}_count{labels} {point.count}", f"{name}_sum{labels} {point.sum}"]
+        return [f"{name}{_braces(labels)} {point.value}"]
+    bounds = [f"{bound:g}" for bound in point.explicit_bounds] + ["+Inf"]
+    counts = itertools.accumulate(point.bucket_counts)
+    lines = [
+        f"{name}_bucket{_braces(labels + [('le', bound)])} {count}"
+        for bound, count in zip(bounds, counts, strict=True)
+    ]
+    lines.append(f"{name}_sum{_braces(labels)} {point.sum}")
+    lines.append(f"{name}_count{_braces(labels)} {point.count}")
+    return lines
+
+
+def _labels_of(point):
+    if not point.attributes:
+        return []
+    return [(KIND, point.attributes.get(KIND, OVERFLOW))]
+
+
+def _braces(labels):
+    if not labels:
+        return ""
+    pairs = (f'{name}="{_escape(value, quotes=True)}"' for name, value in labels)
+    return "{" + ",".join(pairs) + "}"
+
+
+def _escape(text, quotes=False):
+    text = text.replace("\\", "\\\\").replace("\n", "\\n")
+    return text.replace('"', '\\"') if quotes else text
--- a/packages/daemon/carobramp_daemon/middleware.py
+++ b/packages/daemon/carobramp_daemon/middleware.py
@@ -13,14 +13,16 @@
 class ActiveRequests:
     """Number of requests whose handler runs or whose answer is being written."""
 
-    def __init__(self, gate):
+    def __init__(self, gate, metrics):
         self.gate = gate
+        self.metrics = metrics
         self.count = 0
 
     @web.middleware
     async def track(self, request, handler):
         """Count a request; while draining, let its connection end with it."""
         self.count += 1
+        self.metrics.count("requests", kind_of(request))
         if request.transport is not None:
             # An answer counts as written once the kernel has all of it, since what
             # the process still holds is lost when it ends.
@@ -34,6 +36,12 @@
             self.count -= 1
 
 
+def kind_of(request):
+    """Return method and route of a request, or ``unmatched``."""
+    resource = request.match_info.route.resource
+    return f"{request.method} {resource.canonical}" if resource else "unmatched"
+
+
 def render_errors(metrics, log):
     """Return the middleware that answers errors as problem details."""
 
--- a/packages/testing/carobramp_testing/exposition.py
+++ b/packages/testing/carobramp_testing/exposition.py
@@ -5,7 +5,7 @@
 
 SAMPLE = re.compile(
     r"^(?P<name>[a-zA-Z_:][a-zA-Z0-9_:]*)"
-    r"(?:\{(?P<labels>[^}]*)\})? (?P<value>\S+)$"
+    r'(?:\{(?P<labels>(?:[^"}]|"(?:[^"\\]|\\.)*")*)\})? (?P<value>\S+)$'
 )
 LABEL = re.compile(r'([a-zA-Z_][a-zA-Z0-9_]*)="((?:[^"\\]|\\.)*)"')
 
