--- a/packages/cli/carobramp_cli/commands.py
+++ b/packages/cli/carobramp_cli/commands.py
@@ -25,9 +25,19 @@
 DEFAULT_TIMEOUT_S = 10.0
 ANSWER_MARGIN_S = 5.0
 TICKET_COLUMNS = ("number", "author", "accepted_at_ms", "note")
-PEER_COLUMNS = ("vm", "availability_zone", "state_number", "leaving")
-UPSTREAM_COLUMNS = ("name", "service", "availability_zone", "slots", "leaving", "guard")
-SERVICE_COLUMNS = ("name", "policy", "classes")
+PEER_COLUMNS = ("vm", "availability_zone", "live", "leaving", "state_number")
+SERVICE_COLUMNS = ("name", "policy", "waiting")
+UPSTREAM_COLUMNS = (
+    "name",
+    "service",
+    "availability_zone",
+    "slots",
+    "running",
+    "others",
+    "speed",
+    "guard",
+    "leaving",
+)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/daemon/carobramp_daemon/middleware.py
+++ b/packages/daemon/carobramp_daemon/middleware.py
@@ -6,19 +6,23 @@
 from carobramp_daemon.problems import problem, problem_response
 
 HTTP_ERRORS = 400
+HTTP_INTERNAL_ERROR = 500
+DETAIL_MAX_CHARS = 512
 
 
 class ActiveRequests:
     """Number of requests whose handler runs or whose answer is being written."""
 
-    def __init__(self, gate):
+    def __init__(self, gate, metrics):
         self.gate = gate
+        self.metrics = metrics
         self.count = 0
 
     @web.middleware
     async def track(self, request, handler):
         """Count a request; while draining, let its connection end with it."""
         self.count += 1
+        self.metrics.count("requests", kind_of(request))
         if request.transport is not None:
             # An answer counts as written once the kernel has all of it, since what
             # the process still holds is lost when it ends.
@@ -32,17 +36,42 @@
             self.count -= 1
 
 
-@web.middleware
-async def render_errors(request, handler):
-    """Answer errors of routing and of the HTTP layer as problem details."""
-    try:
-        return await handler(request)
-    except web.HTTPException as error:
-        if error.status < HTTP_ERRORS:
-            raise
-        detail = f"{error.reason}: {request.method} {request.path}"
-        details = problem(Reason.MALFORMED_REQUEST, detail[:512], status=error.status)
-        response = problem_response(details)
-        if "Allow" in error.headers:
-            response.headers["Allow"] = error.headers["Allow"]
-        return response
+def kind_of(request):
+    """Return method and route of a request, or ``unmatched``."""
+    resource = request.match_info.route.resource
+    return f"{request.method} {resource.canonical}" if resource else "unmatched"
+
+
+def render_errors(metrics, log):
+    """Return the middleware that answers errors as problem details."""
+
+    @web.middleware
+    async def render(request, handler):
+        try:
+            return await handler(request)
+        except web.HTTPException as error:
+            if error.status < HTTP_ERRORS:
+                raise
+            return http_problem(request, error, metrics)
+        except Exception as error:
+            log.info("handler failed", path=request.path, error=repr(error))
+            metrics.count("refusals", Reason.OUTCOME_UNKNOWN)
+            details = problem(
+                Reason.OUTCOME_UNKNOWN, "internal error", status=HTTP_INTERNAL_ERROR
+            )
+            return problem_response(details)
+
+    return render
+
+
+def http_problem(request, error, metrics):
+    """Return the problem details for an error of routing or of the HTTP layer."""
+    detail = f"{error.reason}: {request.method} {request.path}"
+    metrics.count("refusals", Reason.MALFORMED_REQUEST)
+    details = problem(
+        Reason.MALFORMED_REQUEST, detail[:DETAIL_MAX_CHARS], status=error.status
+    )
+    response = problem_response(details)
+    if "Allow" in error.headers:
+        response.headers["Allow"] = error.headers["Allow"]
+    return response
--- a/packages/daemon/carobramp_daemon/operator.py
+++ b/packages/daemon/carobramp_daemon/operator.py
@@ -1,5 +1,6 @@
 """HTTP routes for operators: status of this VM and its planned stop."""
 
+import dataclasses
 import time
 
 from aiohttp import web
@@ -61,24 +62,25 @@
     def status(self):
         """Return the status as a JSON value."""
         vm = self.settings.vm
-        state = self.tickets.in_force
-        return {
+        now = time.monotonic()
+        body = {
             "vm": vm.name,
             "region": vm.region,
             "availability_zone": vm.availability_zone,
             "incarnation": self.incarnation,
-            "up_ms": round((time.monotonic() - self.started) * 1000),
+            "up_ms": round((now - self.started) * 1000),
             "ready": self.tickets.ready and not self.gate.draining,
             "reason": self.not_ready_reason(),
             "draining": self.gate.draining,
             "accepting": self.gate.accepting,
-            "state_number": state.number,
-            "state_age_ms": self.state_age_ms(),
             "jobs": self.job_count(),
-            "peers": self.peers(),
-            "services": [service_row(n, v) for n, v in sorted(state.services.items())],
-            "upstreams": self.upstreams(),
         }
+        lists = {
+            "peers": self.peers(now),
+            "services": self.services(),
+            "upstreams": self.upstreams(now),
+        }
+        return body | self.tickets.status() | lists
 
     def not_ready_reason(self):
         """Why the VM is not ready; empty when it is."""
@@ -86,30 +88,51 @@
             return "draining"
         return "" if self.tickets.ready else self.tickets.not_ready_reason
 
-    def state_age_ms(self):
-        """Time since the state in force was last confirmed, or None."""
-        age = getattr(self.tickets, "state_age_ms", None)
-        return None if age is None else round(age())
-
     def job_count(self):
         """Jobs under way at this VM."""
         return len(self.dispatch.dispatcher.jobs)
 
-    def peers(self):
-        """Return a row for each other entry VM."""
+    def peers(self, now):
+        """Return a row for each other entry VM that is known."""
+        live = {member.name for member in self.membership.live_peers(now)}
+        members = self.membership.view.members.values()
+        rows = [peer_row(member, member.name in live) for member in members]
+        return sorted(rows, key=lambda row: row["vm"])
+
+    def services(self):
+        """Return a row for each service, with its waiting tasks at this VM."""
+        waiting = {
+            status.name: dict(status.waiting)
+            for status in self.dispatch.dispatcher.service_status()
+        }
+        objects = sorted(self.tickets.in_force.services.items())
         return [
-            {"vm": peer.name, "availability_zone": peer.availability_zone}
-            for peer in self.settings.peers
+            service_row(name, versioned) | {"waiting": waiting.get(name, {})}
+            for name, versioned in objects
         ]
 
-    def upstreams(self):
+    def upstreams(self, now):
         """Return a row for each upstream, with this VM's view of it."""
-        view = getattr(self.dispatch.dispatcher, "view", None)
-        seen = {} if view is None else view(time.monotonic())
-        rows = []
-        for name, versioned in sorted(self.tickets.in_force.upstreams.items()):
-            rows.append(upstream_row(name, versioned) | seen.get(name, {}))
-        return rows
+        seen = {
+            status.name: dataclasses.asdict(status)
+            for status in self.dispatch.dispatcher.upstream_status(now)
+        }
+        objects = sorted(self.tickets.in_force.upstreams.items())
+        return [
+            upstream_row(name, versioned) | seen.get(name, {})
+            for name, versioned in objects
+        ]
+
+
+def peer_row(member, live):
+    """Return the status of another entry VM."""
+    return {
+        "vm": member.name,
+        "availability_zone": member.zone,
+        "live": live,
+        "leaving": member.leaving,
+        "state_number": member.status.number if member.status else None,
+    }
 
 
 def service_row(name, versioned):
--- a/packages/daemon/carobramp_daemon/peers.py
+++ b/packages/daemon/carobramp_daemon/peers.py
@@ -5,10 +5,14 @@
 from collections.abc import Awaitable, Callable
 
 import grpclib.exceptions
+from google.protobuf.message import DecodeError
 from grpclib.client import Channel
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
 from grpclib.server import Server
 from mode import Service
 
+from carobramp_daemon.peer_bounds import bound_messages
 from carobramp_schema.generated import peer_grpc
 from carobramp_schema.generated.settings import Settings
 
@@ -71,11 +75,19 @@
 
     async def answer(self, stream, call, handler):
         """Answer one unary call by its handler."""
-        request = await stream.recv_message()
+        request = await self.receive(stream)
         reply = await handler(request)
         self.count(call, request, reply)
         await stream.send_message(reply)
 
+    async def receive(self, stream):
+        """Receive the request of a call, within the bound on its size."""
+        bound_messages(stream, self.settings.limits.max_peer_message_bytes)
+        request = await stream.recv_message()
+        if request is None:
+            raise GRPCError(Status.INVALID_ARGUMENT, "the call has no message")
+        return request
+
     def count(self, call, *messages):
         """Count messages and their bytes."""
         size = sum(message.ByteSize() for message in messages)
@@ -104,7 +116,7 @@
 
     async def FetchState(self, stream):
         """Stream the state in force."""
-        request = await stream.recv_message()
+        request = await self.receive(stream)
         chunks = await self.handlers.fetch_state(request)
         self.count("fetch_state", request, *chunks)
         for chunk in chunks:
@@ -156,8 +168,10 @@
         """
         method = getattr(self.stub(address), call)
         try:
-            async with asyncio.timeout(timeout):
-                reply = await method(request)
+            async with asyncio.timeout(timeout), method.open() as stream:
+                await stream.send_message(request, end=True)
+                bound_messages(stream, self.settings.limits.max_peer_message_bytes)
+                reply = await stream.recv_message()
         except ConnectionRefusedError as error:
             return PeerUnreachable(repr(error), maybe_received=False)
         except (
@@ -166,8 +180,12 @@
             grpclib.exceptions.GRPCError,
             grpclib.exceptions.StreamTerminatedError,
             grpclib.exceptions.ProtocolError,
+            DecodeError,
+            AssertionError,
         ) as error:
             return PeerUnreachable(repr(error), maybe_received=True)
+        if reply is None:
+            return PeerUnreachable("no reply message", maybe_received=True)
         self.count(call, request, reply)
         return reply
 
@@ -181,6 +199,7 @@
         try:
             async with asyncio.timeout(timeout), method.open() as stream:
                 await stream.send_message(request, end=True)
+                bound_messages(stream, max_bytes)
                 async for reply in stream:
                     size += reply.ByteSize()
                     if size > max_bytes:
@@ -193,6 +212,8 @@
             grpclib.exceptions.GRPCError,
             grpclib.exceptions.StreamTerminatedError,
             grpclib.exceptions.ProtocolError,
+            DecodeError,
+            AssertionError,
         ) as error:
             return PeerUnreachable(repr(error), maybe_received=True)
         self.count(call, request, *replies)
--- a/packages/daemon/carobramp_daemon/upstreams.py
+++ b/packages/daemon/carobramp_daemon/upstreams.py
@@ -156,7 +156,7 @@
         if time.monotonic() >= start.deadline:
             # The process was paused between the decision and the start.
             return TaskNotStarted(RetryReason.REFUSED_OTHER, "deadline passed"), None
-        request = TaskRequest(
+        message = TaskRequest(
             task_id=str(start.task_id),
             service=start.service,
             payload=start.payload,
@@ -167,20 +167,24 @@
             total=start.timeout,
             connect=self.settings.dispatch.connect_timeout_ms / 1000,
         )
+        try:
+            body = encode(message)
+        except RecursionError:
+            return TaskFailed("the payload is nested too deeply", 0.0), None
         try:
             async with endpoint.session.post(
                 endpoint.tasks_url,
-                data=encode(request),
+                data=body,
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
                 data = await self.read_answer(response)
-                return self.interpret(request.task_id, response.status, data)
+                return self.interpret(message.task_id, response.status, data)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             # Both are raised before a connection is there to write the request to.
             self.metrics.count("wasted_messages", Waste.CONNECT_FAILED)
             return TaskNotStarted(RetryReason.CONNECT_FAILED, str(error)), None
-        except (aiohttp.ClientError, TimeoutError) as error:
+        except (aiohttp.ClientError, OSError, ValueError) as error:
             return TaskUnknown(repr(error)), None
 
     async def read_answer(self, response):
@@ -219,9 +223,11 @@
         url = endpoint.tasks_url / str(cancel.task_id) / "cancel"
         timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S)
         try:
-            async with endpoint.session.post(url, timeout=timeout) as response:
+            async with endpoint.session.post(
+                url, timeout=timeout, allow_redirects=False
+            ) as response:
                 await response.read()
-        except (aiohttp.ClientError, TimeoutError) as error:
+        except (aiohttp.ClientError, OSError, ValueError) as error:
             self.log_line.info(
                 "cancel failed",
                 job=cancel.task_id.submission_id,
