--- a/packages/testing/carobramp_testing/chaos/run.py
+++ b/packages/testing/carobramp_testing/chaos/run.py
@@ -3,6 +3,8 @@
 import asyncio
 import collections
 import dataclasses
+import json
+import os
 import time
 
 from carobramp_testing.callers import Callers
@@ -160,8 +162,16 @@
     return attempt.body.get("reason", f"status_{attempt.status}")
 
 
-async def run_chaos(seed, seconds) -> Report:
-    """Start a deployment of three zones and run chaos in it."""
+async def run_chaos(seed, seconds, logs="") -> Report:
+    """Start a deployment of three zones and run chaos in it.
+
+    Parameters
+    ==========
+
+    seed : seed of the schedule and of the callers' choices
+    seconds : length of the load and the faults
+    logs : folder that keeps the logs and what callers saw; empty for none
+    """
     settings = {"drain": {"drain_notice_ms": DRAIN_NOTICE_MS}}
     deployment = Deployment(
         zones=ZONES,
@@ -169,6 +179,18 @@
         speeds=SPEEDS,
         settings=settings,
         links=True,
+        folder=logs or None,
     )
     async with deployment:
-        return await ChaosRun(deployment, seed, seconds).run()
+        run = ChaosRun(deployment, seed, seconds)
+        report = await run.run()
+    if logs:
+        write_attempts(os.path.join(logs, "attempts.jsonl"), run.callers.attempts)
+    return report
+
+
+def write_attempts(path, attempts):
+    """Write what callers saw, one JSON object a line."""
+    with open(path, "w") as file:
+        for attempt in attempts:
+            file.write(json.dumps(dataclasses.asdict(attempt)) + "\n")
--- a/packages/testing/carobramp_testing/chaos/schedule.py
+++ b/packages/testing/carobramp_testing/chaos/schedule.py
@@ -97,11 +97,12 @@
     faults = []
     at = rng.expovariate(1 / MEAN_GAP_S)
     while at < seconds:
-        kind = pending[-1] if pending else rng.choice(list(KINDS))
-        fault = _fault(at, kind, seconds, topology, busy_until, rng)
+        kinds = pending or [rng.choice(list(KINDS))]
+        made = (_fault(at, kind, seconds, topology, busy_until, rng) for kind in kinds)
+        fault = next((fault for fault in made if fault is not None), None)
         if fault is not None:
             faults.append(fault)
-            pending = pending[:-1]
+            pending = [kind for kind in pending if kind != fault.kind]
         at += rng.expovariate(1 / MEAN_GAP_S)
     return faults
 
--- a/packages/testing/carobramp_testing/processes.py
+++ b/packages/testing/carobramp_testing/processes.py
@@ -101,6 +101,7 @@
     settings : sections of the entry VMs' settings
     service : fields of the service's state
     links : whether links run through relays, so that they can be cut
+    folder : folder that keeps the logs; none for a temporary one
     """
 
     def __init__(
@@ -112,6 +113,7 @@
         settings=None,
         service=None,
         links=False,
+        folder=None,
     ):
         self.zones = zones
         self.vms_per_zone = vms_per_zone
@@ -120,7 +122,8 @@
         self.settings = settings or {}
         self.service = service or {}
         self.links = Links(zones) if links else None
-        self.folder = tempfile.TemporaryDirectory(prefix="carobramp-")
+        self.temporary = tempfile.TemporaryDirectory(prefix="carobramp-")
+        self.folder = folder or self.temporary.name
         self.platform = None
         self.upstreams: dict[str, Process] = {}
         self.vms: dict[str, Process] = {}
@@ -143,7 +146,7 @@
             await self.links.stop()
         if self.session is not None:
             await self.session.close()
-        self.folder.cleanup()
+        self.temporary.cleanup()
 
     async def start(self):
         """Start everything and put the first ticket into force."""
@@ -184,11 +187,11 @@
     async def start_vm(self, name):
         """Start an entry VM; again after its end for a new incarnation."""
         settings = self.vm_settings.get(name) or self.first_settings(name)
-        path = os.path.join(self.folder.name, f"{name}.json")
+        path = os.path.join(self.folder, f"{name}.json")
         with open(path, "wb") as file:  # noqa: ASYNC230
             file.write(encode(settings))
         arguments = ["-m", "carobramp_daemon.main", f"--settings={path}"]
-        log_path = os.path.join(self.folder.name, f"{name}.log")
+        log_path = os.path.join(self.folder, f"{name}.log")
         process = Process(arguments, addresses=2, log_path=log_path)
         self.vms[name] = await self.launch(process)
         self.keep_ports(name)
@@ -302,7 +305,7 @@
 
     def starts_path(self, zone):
         """Path of the file to which a zone's upstreams write each start."""
-        return os.path.join(self.folder.name, f"starts-{zone}.log")
+        return os.path.join(self.folder, f"starts-{zone}.log")
 
     async def starts(self):
         """Return the number of starts of each task, over all upstreams.
