--- a/packages/daemon/carobramp_daemon/peers.py
+++ b/packages/daemon/carobramp_daemon/peers.py
@@ -53,7 +53,8 @@
         self.log_line = log
         self.server: Server
         self.port = 0
-        self.forwards_open = 0
+        # Forwarded jobs whose answer is not sent yet; the drain waits for them.
+        self.active = 0
 
     async def on_start(self):
         """Listen for other entry VMs."""
@@ -87,11 +88,11 @@
 
     async def Forward(self, stream):
         """Run a job that this process owns."""
-        self.forwards_open += 1
+        self.active += 1
         try:
             await self.answer(stream, "forward", self.handlers.forward)
         finally:
-            self.forwards_open -= 1
+            self.active -= 1
 
     async def Cancel(self, stream):
         """Cancel a job that this process owns."""
--- a/packages/daemon/carobramp_daemon/submission.py
+++ b/packages/daemon/carobramp_daemon/submission.py
@@ -47,6 +47,7 @@
 from carobramp_daemon.answers import render
 from carobramp_daemon.claims import ClaimService
 from carobramp_daemon.forwards import Forwarder
+from carobramp_daemon.gate import Gate
 from carobramp_daemon.jobs import Pending, PendingClaim, Submission
 from carobramp_schema.generated.claim import ClaimRow
 from carobramp_schema.generated.settings import Settings
@@ -64,6 +65,7 @@
     ==========
 
     settings : settings of the daemon
+    gate : whether new jobs may start here
     issuer : issuer of this process's ids
     dispatch : service that runs jobs
     forwarder : calls to the owners of other submissions
@@ -76,6 +78,7 @@
     def __init__(
         self,
         settings: Settings,
+        gate: Gate,
         issuer: IdIssuer,
         dispatch,
         forwarder: Forwarder,
@@ -86,14 +89,13 @@
     ):
         super().__init__()
         self.settings = settings
+        self.gate = gate
         self.issuer = issuer
         self.dispatch = dispatch
         self.forwarder = forwarder
         self.ready = ready
         self.metrics = metrics
         self.log_line = log
-        self.accepting = True
-        self.open_calls = 0
         self.registry = Registry(settings.submission, settings.limits.max_jobs)
         self.pending: dict[str, Pending] = {}
         holder = f"{issuer.vm}/{issuer.incarnation}"
@@ -112,10 +114,6 @@
             await self.sleep(SWEEP_S)
             self.registry.sweep(time.monotonic())
 
-    def busy(self) -> bool:
-        """Whether a submission is under way here or forwarded from here."""
-        return self.open_calls > 0 or bool(self.registry.jobs)
-
     def issue(self, count):
         """Return new submission ids."""
         now = time.monotonic()
@@ -124,11 +122,7 @@
     async def submit(self, submission: Submission) -> Answer:
         """Return the answer to a submission."""
         decision = self.decide(submission)
-        self.open_calls += 1
-        try:
-            return await carry_out(decision, self, submission)
-        finally:
-            self.open_calls -= 1
+        return await carry_out(decision, self, submission)
 
     def decide(self, submission: Submission) -> Decision:
         """Decide what happens to a submission."""
@@ -149,7 +143,7 @@
         return Process(
             vm=self.issuer.vm,
             incarnation=self.issuer.incarnation,
-            accepting=self.accepting,
+            accepting=self.gate.accepting,
             ready=self.ready(),
             full=self.registry.full() or self.forwarder.full(),
         )
