Claim a caller-made id once for all teams

Cause: claim rows were kept by team, so one UUID with the bodies of two teams had two owners. Tasks of the same name started twice, and a refusal of one team said not run while tasks of the other ran under the id.

Change: the row is claim/<uuid>; a cancellation finds it without the team.

--- a/packages/core/carobramp_core/submission/claims.py
+++ b/packages/core/carobramp_core/submission/claims.py
@@ -13,7 +13,6 @@
 import collections
 import dataclasses
 import functools
-import urllib.parse
 
 from carobramp_core.platform import (
     Committed,
@@ -33,21 +32,21 @@
 # A claim is sent at most this often. Each resend carries the same nonce and the
 # same condition, so that at most one of them takes effect.
 MAX_SENDS = 4
-# Sorts after every UUID, and so after the rows of a team.
-_AFTER_UUIDS = "g"
 
 
-def claim_key(team: str, key: CallerMadeId) -> str:
-    """Return the key of a claim row; rows of one team sort by the ids' times.
+def claim_key(key: CallerMadeId) -> str:
+    """Return the key of a claim row; rows sort by the ids' times.
+
+    The id alone is claimed, since tasks are named by it at upstreams: one id with
+    the bodies of two teams is a conflict, not two submissions.
 
     Examples
     ========
 
-    >>> made = parse_caller_made("0193a5c0-0000-7000-8000-000000000001")
-    >>> claim_key("print/desk", made)
-    'claim/print%2Fdesk/0193a5c0-0000-7000-8000-000000000001'
+    >>> claim_key(parse_caller_made("0193a5c0-0000-7000-8000-000000000001"))
+    'claim/0193a5c0-0000-7000-8000-000000000001'
     """
-    return f"{CLAIM_PREFIX}{urllib.parse.quote(team, safe='')}/{key.text}"
+    return f"{CLAIM_PREFIX}{key.text}"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -307,8 +306,8 @@
     ===========
 
     A row is removed only when the time in its id is more than `kept` seconds ago:
-    no VM accepts the id by then. The rows of a team are in the order of their
-    times, so that the scan skips the rest of a team at its first row to be kept.
+    no VM accepts the id by then. Rows are in the order of their times, so that the
+    scan ends at the first row to be kept.
 
     Parameters
     ==========
@@ -320,12 +319,11 @@
     """
     chosen = []
     for row in rows:
-        team, _, text = row.key.rpartition("/")
-        made = parse_caller_made(text)
+        made = parse_caller_made(row.key.removeprefix(CLAIM_PREFIX))
         if made is not None and wall_now - made.made > kept:
             chosen.append(row)
         elif made is not None:
-            return Removal(tuple(chosen), f"{team}/{_AFTER_UUIDS}")
+            return Removal(tuple(chosen), None)
     after = rows[-1].key if len(rows) == limit else None
     return Removal(tuple(chosen), after)
 
--- a/packages/daemon/carobramp_daemon/api.py
+++ b/packages/daemon/carobramp_daemon/api.py
@@ -148,12 +148,9 @@
         return response_of(answer)
 
     async def cancel_job(self, request):
-        """Cancel a job here or at its owner.
-
-        The optional query parameter `team` finds the owner of a caller-made id.
-        """
+        """Cancel a job here or at its owner."""
         name = request.match_info["submission_id"]
-        result = await self.canceller.cancel(name, request.query.get("team", ""))
+        result = await self.canceller.cancel(name)
         if result is CancelResult.UNREACHABLE:
             detail = "the owner of the submission cannot be reached"
             return self.refuse(Reason.OWNER_UNREACHABLE, detail)
--- a/packages/daemon/carobramp_daemon/cancels.py
+++ b/packages/daemon/carobramp_daemon/cancels.py
@@ -27,17 +27,13 @@
         self.forwarder = forwarder
         self.platform = platform
 
-    async def cancel(self, text: str, team: str) -> CancelResult:
-        """Cancel a job.
-
-        `team` is needed only to find the claim row of a caller-made id that this
-        process does not know.
-        """
+    async def cancel(self, text: str) -> CancelResult:
+        """Cancel a job."""
         key = parse_id(text)
         if self.submissions.cancel_here(key):
             return CancelResult.FOUND
-        if isinstance(key, CallerMadeId) and team:
-            owner = await self.find_owner(key, team)
+        if isinstance(key, CallerMadeId):
+            owner = await self.find_owner(key)
         elif isinstance(key, IssuedId):
             owner = ForwardTo(key.vm, key.incarnation)
         else:
@@ -50,9 +46,9 @@
             return CancelResult.NOT_FOUND
         return await self.forwarder.cancel(owner, str(key))
 
-    async def find_owner(self, key, team) -> ForwardTo | Unavailable | None:
+    async def find_owner(self, key) -> ForwardTo | Unavailable | None:
         """Return the owner that the claim row names."""
-        rows = await self.platform.read((claim_key(team, key),), PURPOSE)
+        rows = await self.platform.read((claim_key(key),), PURPOSE)
         if isinstance(rows, Unavailable):
             return rows
         if not rows:
--- a/packages/daemon/carobramp_daemon/submission.py
+++ b/packages/daemon/carobramp_daemon/submission.py
@@ -247,7 +247,7 @@
             digest=self.registry.jobs[name].digest.hex(),
         )
         self.pending[name].claim = PendingClaim(submission.key, submission, nonce)
-        key = claim_key(submission.request.team, submission.key)
+        key = claim_key(submission.key)
         self.claims.send(Claim(name, key, row, submission.deadline))
 
     def claim_decided(self, event: ClaimDecided):
