--- a/packages/daemon/carobramp_daemon/daemon.py
+++ b/packages/daemon/carobramp_daemon/daemon.py
@@ -29,6 +29,7 @@
 
 INCARNATION_BYTES = 8
 KEY_BYTES = 16
+ABANDON_S = 2.0
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -159,17 +160,43 @@
         return jobs + self.api.active.count + self.peer_api.active
 
 
-async def run_daemon(settings: Settings):
-    """Run the daemon until a stop is asked for, then drain and stop it."""
+async def run_daemon(settings: Settings) -> str:
+    """Run the daemon until a stop is asked for, then drain and stop it.
+
+    Returns
+    =======
+
+    An empty string after a planned stop, otherwise why the process must end. A
+    service that fails breaks an invariant: the process ends at once, so that the
+    VM does not seem ready without it.
+    """
     daemon = Daemon(settings)
     loop = asyncio.get_running_loop()
     for number in STOP_SIGNALS:
         loop.add_signal_handler(number, daemon.drain.request, number.name)
-    await daemon.start()
-    for port in (daemon.api.port, daemon.peer_api.port):
-        print(f"listening {settings.vm.host} {port}", flush=True)
-    await daemon.drain.run()
+    try:
+        await daemon.start()
+    except OSError as error:
+        await abandon(daemon)
+        return f"cannot start: {error}"
+    if daemon.crash_reason is None:
+        for port in (daemon.api.port, daemon.peer_api.port):
+            print(f"listening {settings.vm.host} {port}", flush=True)
+        await daemon.wait(daemon.drain.run())
+    if daemon.crash_reason is not None:
+        await abandon(daemon)
+        return f"a service failed: {daemon.crash_reason!r}"
     await daemon.stop()
     # The event loop restores the default actions when it closes; a signal after
     # that would end the process with the status of a kill.
     signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
+    return ""
+
+
+async def abandon(daemon: Daemon):
+    """Close what a daemon that cannot go on has open, within a short time."""
+    try:
+        async with asyncio.timeout(ABANDON_S):
+            await daemon.stop()
+    except TimeoutError:
+        daemon.log_line.info("services did not stop")
--- a/packages/daemon/carobramp_daemon/logs.py
+++ b/packages/daemon/carobramp_daemon/logs.py
@@ -2,6 +2,7 @@
 
 import logging
 import sys
+import traceback
 
 import eliot
 
@@ -60,9 +61,16 @@
             library=record.name,
             detail=record.getMessage()[:DETAIL_MAX_CHARS],
             error=repr(error)[:DETAIL_MAX_CHARS] if error else "",
+            place=place_of(error) if error else "",
         )
 
 
+def place_of(error):
+    """Return file and line at which an exception was raised."""
+    frames = traceback.extract_tb(error.__traceback__)
+    return f"{frames[-1].filename}:{frames[-1].lineno}" if frames else ""
+
+
 def log_to_stderr(vm):
     """Send log lines to standard error, one JSON object a line."""
     eliot.to_file(sys.stderr)
--- a/packages/daemon/carobramp_daemon/main.py
+++ b/packages/daemon/carobramp_daemon/main.py
@@ -9,6 +9,7 @@
 from carobramp_daemon.logs import log_to_stderr
 from carobramp_schema.settings import load_settings
 
+EXIT_FAILED = 1
 EXIT_INVALID = 2
 USAGE = "usage: carobrampd --settings=FILE [--check]"
 
@@ -42,14 +43,14 @@
     if FLAGS.check:
         return 0
     log_to_stderr(settings.vm.name)
-    asyncio.run(run_daemon(settings))
-    return 0
+    failure = asyncio.run(run_daemon(settings))
+    return fail(failure, EXIT_FAILED) if failure else 0
 
 
-def fail(detail):
+def fail(detail, status=EXIT_INVALID):
     """Print one line about a fault and return the exit status."""
     print("carobrampd:", " ".join(detail.split()), file=sys.stderr)
-    return EXIT_INVALID
+    return status
 
 
 def run():
