--- a/packages/daemon/carobramp_daemon/api.py
+++ b/packages/daemon/carobramp_daemon/api.py
@@ -9,7 +9,10 @@
 from carobramp_core.submission.ids import parse_id
 from carobramp_daemon.answers import response_of
 from carobramp_daemon.forwards import CancelResult
+from carobramp_daemon.gate import Gate
 from carobramp_daemon.jobs import Submission
+from carobramp_daemon.middleware import ActiveRequests, render_errors
+from carobramp_daemon.operator import OperatorApi
 from carobramp_daemon.problems import problem, problem_response
 from carobramp_schema import InvalidInput, decode, encode
 from carobramp_schema.generated.caller import (
@@ -23,41 +26,60 @@
 SUBMISSION_HEADER = "Idempotency-Key"
 RETRY_AFTER_S = 1.0
 CANCEL_STATUS = {CancelResult.FOUND: 202, CancelResult.NOT_FOUND: 404}
+# Longest wait, when the daemon stops, for a caller that reads its answer slowly.
+ANSWER_WRITE_S = 60.0
 
 
 class CallerApi(Service):
     """Serves callers, operators and the balancer."""
 
     def __init__(
-        self, settings: Settings, submissions, canceller, tickets, metrics, log
+        self,
+        settings: Settings,
+        gate: Gate,
+        submissions,
+        canceller,
+        tickets,
+        metrics,
+        log,
     ):
         super().__init__()
         self.settings = settings
+        self.gate = gate
         self.submissions = submissions
         self.canceller = canceller
         self.tickets = tickets
         self.metrics = metrics
         self.log_line = log
-        self.draining = False
         self.port = 0
         self.runner = None
+        self.operator: OperatorApi | None = None
+        self.active = ActiveRequests(gate, metrics)
 
     async def on_start(self):
         """Listen for callers."""
-        app = web.Application(client_max_size=self.settings.limits.max_body_bytes)
+        app = web.Application(
+            client_max_size=self.settings.limits.max_body_bytes,
+            middlewares=[
+                self.active.track,
+                render_errors(self.metrics, self.log_line),
+            ],
+        )
         app.router.add_post("/v1/submission-ids", self.issue_ids)
         app.router.add_post("/v1/jobs", self.submit_job)
         app.router.add_delete("/v1/jobs/{submission_id}", self.cancel_job)
         app.router.add_get("/healthz", self.health)
         app.router.add_get("/readyz", self.readiness)
-        app.router.add_get("/v1/status", self.status)
         app.router.add_get("/metrics", self.show_metrics)
         self.tickets.add_routes(app.router)
+        if self.operator is not None:
+            self.operator.add_routes(app.router)
         self.runner = web.AppRunner(
             app,
             access_log=None,
             max_field_size=self.settings.limits.max_header_bytes,
             handler_cancellation=True,
+            shutdown_timeout=ANSWER_WRITE_S,
         )
         await self.runner.setup()
         vm = self.settings.vm
@@ -101,7 +123,7 @@
 
         A VM that is about to stop hands out none: they would end with it.
         """
-        if self.draining:
+        if self.gate.draining:
             return self.refuse(Reason.DRAINING, "this VM is stopping", RETRY_AFTER_S)
         message, _ = await self.read(request, IdsRequest)
         if isinstance(message, web.Response):
@@ -124,17 +146,21 @@
             deadline=received + message.deadline_ms / 1000,
         )
         answer = await self.submissions.submit(submission)
-        kind = message.priority_class
+        kind = self.class_of(message)
         self.metrics.observe("response_ms", kind, (time.monotonic() - received) * 1000)
         return response_of(answer)
 
-    async def cancel_job(self, request):
-        """Cancel a job here or at its owner.
+    def class_of(self, message):
+        """Return the class of a job, or ``unknown``, since callers choose names."""
+        service = self.tickets.in_force.service(message.service)
+        known = {item.name for item in service.classes} if service else ()
+        name = message.priority_class
+        return name if name in known else "unknown"
 
-        The optional query parameter `team` finds the owner of a caller-made id.
-        """
+    async def cancel_job(self, request):
+        """Cancel a job here or at its owner."""
         name = request.match_info["submission_id"]
-        result = await self.canceller.cancel(name, request.query.get("team", ""))
+        result = await self.canceller.cancel(name)
         if result is CancelResult.UNREACHABLE:
             detail = "the owner of the submission cannot be reached"
             return self.refuse(Reason.OWNER_UNREACHABLE, detail)
@@ -146,23 +172,12 @@
 
     async def readiness(self, request):
         """Whether the balancer may send requests here."""
-        if self.draining:
+        if self.gate.draining:
             return web.Response(status=503, text="draining\n")
         if not self.tickets.ready:
             return web.Response(status=503, text=f"{self.tickets.not_ready_reason}\n")
         return web.Response(text="ready\n")
 
-    async def status(self, request):
-        """State of this VM."""
-        body = {
-            "vm": self.settings.vm.name,
-            "availability_zone": self.settings.vm.availability_zone,
-            "ready": self.tickets.ready and not self.draining,
-            "state_number": self.tickets.in_force.number,
-            "jobs": len(self.submissions.registry.jobs),
-        }
-        return web.Response(body=encode(body), content_type=JSON)
-
     async def show_metrics(self, request):
         """Metrics in the text exposition format."""
         return web.Response(text=self.metrics.exposition())
--- /dev/null
+++ b/packages/daemon/carobramp_daemon/operator.py
@@ -0,0 +1,162 @@
+"""HTTP routes for operators: status of this VM and its planned stop."""
+
+import dataclasses
+import time
+
+from aiohttp import web
+
+from carobramp_schema import encode
+from carobramp_schema.generated.settings import Settings
+
+JSON = "application/json"
+HTTP_ACCEPTED = 202
+
+
+class OperatorApi:
+    """Serves `/v1/status` and `/v1/drain`.
+
+    Parameters
+    ==========
+
+    settings : settings of the daemon
+    incarnation : incarnation of the process
+    gate : has the flags `draining` and `accepting`
+    tickets, membership, dispatch : services that the status reports on
+    drain : planned stop
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        incarnation,
+        gate,
+        tickets,
+        membership,
+        dispatch,
+        drain,
+    ):
+        self.settings = settings
+        self.incarnation = incarnation
+        self.gate = gate
+        self.tickets = tickets
+        self.membership = membership
+        self.dispatch = dispatch
+        self.drain = drain
+        self.started = time.monotonic()
+
+    def add_routes(self, router):
+        """Add the routes."""
+        router.add_get("/v1/status", self.show_status)
+        router.add_post("/v1/drain", self.start_drain)
+
+    async def show_status(self, request):
+        """What this VM knows of itself and of the deployment."""
+        return web.Response(body=encode(self.status()), content_type=JSON)
+
+    async def start_drain(self, request):
+        """Start the planned stop and answer at once."""
+        self.drain.request("operator")
+        body = {"draining": True, "jobs": self.job_count()}
+        return web.Response(status=HTTP_ACCEPTED, body=encode(body), content_type=JSON)
+
+    def status(self):
+        """Return the status as a JSON value."""
+        vm = self.settings.vm
+        now = time.monotonic()
+        body = {
+            "vm": vm.name,
+            "region": vm.region,
+            "availability_zone": vm.availability_zone,
+            "incarnation": self.incarnation,
+            "up_ms": round((now - self.started) * 1000),
+            "ready": self.tickets.ready and not self.gate.draining,
+            "reason": self.not_ready_reason(),
+            "draining": self.gate.draining,
+            "accepting": self.gate.accepting,
+            "jobs": self.job_count(),
+        }
+        lists = {
+            "peers": self.peers(now),
+            "services": self.services(),
+            "upstreams": self.upstreams(now),
+        }
+        return body | self.tickets.status() | lists
+
+    def not_ready_reason(self):
+        """Why the VM is not ready; empty when it is."""
+        if self.gate.draining:
+            return "draining"
+        return "" if self.tickets.ready else self.tickets.not_ready_reason
+
+    def job_count(self):
+        """Jobs under way at this VM."""
+        return len(self.dispatch.dispatcher.jobs)
+
+    def peers(self, now):
+        """Return a row for each other entry VM that is known."""
+        live = {member.name for member in self.membership.live_peers(now)}
+        members = self.membership.view.members.values()
+        rows = [peer_row(member, member.name in live) for member in members]
+        return sorted(rows, key=lambda row: row["vm"])
+
+    def services(self):
+        """Return a row for each service, with its waiting tasks at this VM."""
+        waiting = {
+            status.name: dict(status.waiting)
+            for status in self.dispatch.dispatcher.service_status()
+        }
+        objects = sorted(self.tickets.in_force.services.items())
+        return [
+            service_row(name, versioned) | {"waiting": waiting.get(name, {})}
+            for name, versioned in objects
+        ]
+
+    def upstreams(self, now):
+        """Return a row for each upstream, with this VM's view of it."""
+        seen = {
+            status.name: dataclasses.asdict(status)
+            for status in self.dispatch.dispatcher.upstream_status(now)
+        }
+        objects = sorted(self.tickets.in_force.upstreams.items())
+        return [
+            upstream_row(name, versioned) | seen.get(name, {})
+            for name, versioned in objects
+        ]
+
+
+def peer_row(member, live):
+    """Return the status of another entry VM."""
+    return {
+        "vm": member.name,
+        "availability_zone": member.zone,
+        "live": live,
+        "leaving": member.leaving,
+        "state_number": member.status.number if member.status else None,
+    }
+
+
+def service_row(name, versioned):
+    """Return the status of a service."""
+    classes = [item.name for item in versioned.state.classes]
+    return {
+        "name": name,
+        "set_by": versioned.number,
+        "policy": versioned.state.policy,
+        "classes": classes,
+    }
+
+
+def upstream_row(name, versioned):
+    """Return the status of an upstream as the tickets set it."""
+    state = versioned.state
+    return {
+        "name": name,
+        "set_by": versioned.number,
+        "service": state.service,
+        "availability_zone": state.availability_zone,
+        "rack": state.rack,
+        "host": state.host,
+        "port": state.port,
+        "slots": state.slots,
+        "leaving": state.leaving,
+    }
--- a/packages/schema/carobramp_schema/decode.py
+++ b/packages/schema/carobramp_schema/decode.py
@@ -10,6 +10,9 @@
 T = TypeVar("T")
 
 SEEN_MAX_CHARS = 80
+# Input with so few brackets is far from the interpreter's recursion limit of 1000.
+SAFE_BRACKETS = 500
+NESTING_RESERVE = 64
 _PATH = re.compile(r"^(?P<what>.*?)(?: - at `(?P<path>.*)`)?$", re.DOTALL)
 _UNKNOWN = re.compile(r"^Object contains unknown field `(?P<name>.*)`$")
 _MISSING = re.compile(r"^Object missing required field `(?P<name>.*)`$")
@@ -51,11 +54,14 @@
     $.count: expected `int` >= 1, saw 0
     """
     try:
-        return msgspec.json.decode(data, type=kind)
+        message = msgspec.json.decode(data, type=kind)
     except msgspec.ValidationError as error:
         return _describe(str(error), _parse_any(data), kind)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         return InvalidInput("$", "a JSON document", _shorten(str(error)))
+    if _nests_too_deeply(data, message):
+        return InvalidInput("$", "JSON nested less deeply", "too many levels")
+    return message
 
 
 def convert(value: Any, kind: type[T]) -> T | InvalidInput:
@@ -84,6 +90,23 @@
         return None
 
 
+def _nests_too_deeply(data, message):
+    """Whether values of the message might be too deep to be sent on.
+
+    Decoding and encoding have the same limit, and a value is sent on inside other
+    messages and from deeper calls than the one that decoded it.
+    """
+    if data.count(b"[") + data.count(b"{") <= SAFE_BRACKETS:
+        return False
+    for _ in range(NESTING_RESERVE):
+        message = [message]
+    try:
+        msgspec.json.encode(message)
+    except RecursionError:
+        return True
+    return False
+
+
 def _shorten(text):
     if len(text) <= SEEN_MAX_CHARS:
         return text
@@ -95,19 +118,22 @@
     what = match["what"]
     path = match["path"] or "$"
     if unknown := _UNKNOWN.match(what):
-        return _unknown_field(path, unknown["name"], kind)
+        name = unknown["name"]
+        return unknown_field(path, name, _field_names(kind, path))
     if missing := _MISSING.match(what):
         return InvalidInput(f"{path}.{missing['name']}", "a value", "nothing")
     expected = what.removeprefix("Expected ").split(", got ")[0]
     return InvalidInput(path, expected, _seen(value, path))
 
 
-def _unknown_field(path, name, kind):
+def unknown_field(path, name, known):
+    """Return the fault for a field that is not among the `known` names."""
     expected = "a known field"
-    nearest = difflib.get_close_matches(name, _field_names(kind, path), 1, 0.5)
+    nearest = difflib.get_close_matches(name, known, 1, 0.5)
     if nearest:
         expected += f" (nearest is `{nearest[0]}`)"
-    return InvalidInput(f"{path}.{name}", expected, f"`{_shorten(name)}`")
+    name = _shorten(name)
+    return InvalidInput(f"{path}.{name}", expected, f"`{name}`")
 
 
 def _seen(value, path):
--- a/packages/schema/carobramp_schema/generate.py
+++ b/packages/schema/carobramp_schema/generate.py
@@ -1,7 +1,7 @@
-"""Writes the generated modules from the schema definitions.
+"""Writes the generated modules and docs/settings.md from the schema definitions.
 
 Run as ``python -m carobramp_schema.generate [--check]``. With ``--check`` it
-writes nothing and fails when a committed module is not current.
+writes nothing and fails when a committed file is not current.
 """
 
 import argparse
@@ -22,6 +22,8 @@
     generate,
 )
 
+from carobramp_schema import settings_page
+
 PACKAGE = pathlib.Path(__file__).parent
 DEFINITIONS = PACKAGE / "definitions"
 GENERATED = PACKAGE / "generated"
@@ -32,7 +34,8 @@
     """Mark properties with a default as required, for plain field types.
 
     The generator gives an optional field the type ``T | UnsetType``; a required
-    field with a default has the type ``T``.
+    field with a default has the type ``T``. Defaults of numbers become floats, as
+    decoded numbers are: 1 and 1.0 have different canonical JSON, and so digests.
     """
     if isinstance(node, list):
         for item in node:
@@ -44,10 +47,18 @@
         with_default = [k for k, v in properties.items() if "default" in v]
         required = node.setdefault("required", [])
         required.extend(k for k in with_default if k not in required)
+        for name in with_default:
+            make_default_float(properties[name])
     for value in node.values():
         require_defaults(value)
 
 
+def make_default_float(schema):
+    """Turn the default of a number into a float."""
+    if schema.get("type") == "number":
+        schema["default"] = float(schema["default"])
+
+
 def generate_messages(target):
     """Generate one module of message classes for each JSON Schema."""
     for path in sorted(DEFINITIONS.glob("*.schema.json")):
@@ -135,11 +146,14 @@
     parser.add_argument("--check", action="store_true", help="only compare")
     if not parser.parse_args().check:
         generate_all(GENERATED)
+        settings_page.write_page()
         return
     with tempfile.TemporaryDirectory(dir=PACKAGE.parents[2]) as folder:
         target = pathlib.Path(folder)
         generate_all(target)
         stale = stale_modules(target)
+    if settings_page.page_is_stale():
+        stale.append("docs/settings.md")
     if stale:
         raise SystemExit(f"not current, run `make generate`: {', '.join(stale)}")
 
--- a/packages/testing/carobramp_testing/models/__init__.py
+++ b/packages/testing/carobramp_testing/models/__init__.py
@@ -1,10 +1,11 @@
 """Model specifications, checked exhaustively within their bounds.
 
 Run as ``python -m carobramp_testing.models``. Each module in `MODULES` has a
-function ``specifications()`` that returns a list of `Specification`.
+function ``main()`` that checks and prints its specifications and returns the exit
+status.
 """
 
 MODULES = (
-    "carobramp_testing.models.issued",
-    "carobramp_testing.models.claimed",
+    "carobramp_testing.models.submission",
+    "carobramp_testing.models.tickets",
 )
--- a/packages/testing/carobramp_testing/models/claimed.py
+++ b/packages/testing/carobramp_testing/models/claimed.py
@@ -65,7 +65,7 @@
 VMS = ("vm-a", "vm-b")
 SETTINGS = SubmissionSettings()
 KEY = CallerMadeId("0193a5c0-0000-7000-8000-000000000001", 1733652643.84)
-ROW_KEY = f"claim/team/{KEY.text}"
+ROW_KEY = f"claim/{KEY.text}"
 KEPT_S = SETTINGS.claim_kept_ms / 1000
 # Times of the platform and of all VMs: the id is fresh, it can start nothing any
 # more, and its row may be removed.
--- a/packages/testing/carobramp_testing/models/tests/test_submission.py
+++ b/packages/testing/carobramp_testing/models/tests/test_submission.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from carobramp_testing.models import claimed, issued
 from carobramp_testing.models.specification import check
+from carobramp_testing.models.submission import specifications
 
 
 class SubmissionModelTests(unittest.TestCase):
@@ -11,7 +11,7 @@
 
     def test_specifications_hold(self):
         """Guards against decisions that allow a second start or a false answer."""
-        for specification in issued.specifications() + claimed.specifications():
+        for specification in specifications():
             with self.subTest(specification.name):
                 verdict = check(specification)
                 self.assertTrue(verdict.exhaustive)
@@ -19,7 +19,7 @@
 
     def test_each_safeguard_is_needed(self):
         """Guards against a specification too weak to show what a safeguard does."""
-        for specification in issued.specifications() + claimed.specifications():
+        for specification in specifications():
             for safeguard, invariant in specification.safeguards.items():
                 with self.subTest(specification.name, without=safeguard):
                     verdict = check(specification, without=safeguard)
