--- a/packages/testing/carobramp_testing/capacity/measure.py
+++ b/packages/testing/carobramp_testing/capacity/measure.py
@@ -23,7 +23,7 @@
 from carobramp_daemon.metrics import Metrics
 from carobramp_daemon.peers import PeerApi, PeerClients, PeerHandlers
 from carobramp_schema import encode
-from carobramp_schema.generated.peer_pb2 import PeerStatus, TeamLoad
+from carobramp_schema.generated.peer_pb2 import PeerStatus
 from carobramp_schema.generated.settings import DispatchSettings
 from carobramp_schema.generated.ticket import (
     ServiceChange,
@@ -123,7 +123,8 @@
         state_digest="0" * 64,
         heard_number=1_000_000,
         live_peers=DESIGN_SIZE.vms - 1,
-        teams=[TeamLoad(team=f"team-{n}", running=9, waiting=99) for n in range(teams)],
+        with_loads=bool(teams),
+        team_loads=[number for n in range(teams) for number in (n, 9, 99)],
     )
 
 
