--- a/packages/core/carobramp_core/dispatch/deployment.py
+++ b/packages/core/carobramp_core/dispatch/deployment.py
@@ -33,7 +33,7 @@
     for name, versioned in state.services.items():
         pool = dispatcher.pools.get(name)
         if pool is None:
-            dispatcher.pools[name] = ServicePool(name, versioned.state)
+            dispatcher.pools[name] = ServicePool(name, versioned.state, dispatcher.rng)
         elif pool.state is not versioned.state:
             pool.set_state(versioned.state)
     for name in dispatcher.pools.keys() - state.services.keys():
@@ -103,7 +103,8 @@
     """Take quotas and weights."""
     for name, versioned in state.teams.items():
         team = versioned.state
-        dispatcher.quotas.team(name, team.quota_slots, team.weight)
+        use = dispatcher.quotas.team(name, team.quota_slots, team.weight)
+        dispatcher.release(use)
 
 
 def fail_removed(state, dispatcher, now, effects):
--- a/packages/core/carobramp_core/dispatch/engine.py
+++ b/packages/core/carobramp_core/dispatch/engine.py
@@ -9,6 +9,7 @@
 starts after its deadline, however late the call is.
 """
 
+import dataclasses
 import functools
 import heapq
 import random
@@ -118,7 +119,7 @@
         for pool in self.pools.values():
             self.refresh_pool(pool, now, elapsed)
         for use in self.quotas.teams.values():
-            self.release(use, now)
+            self.release(use)
 
     def refresh_pool(self, pool: ServicePool, now, elapsed):
         """Renew the estimates of one service."""
@@ -134,9 +135,9 @@
             pool.far_refreshed_at = now
         self.changed.add(pool.name)
 
-    def release(self, use, now):
+    def release(self, use):
         """Let the waiting tasks of a team go on if its quota has room."""
-        if use.parked_in and self.quotas.has_room(use, now):
+        if use.parked_in and use.has_room():
             for queue in use.parked_in:
                 queue.release(use.name)
                 self.changed.add(queue.service)
@@ -156,7 +157,7 @@
             queue = pool.queue.next_class(blocked)
             if queue is None:
                 return
-            job = queue.peek(lambda use: self.quotas.has_room(use, now))
+            job = queue.peek()
             if job is None:
                 blocked.add(queue.name)
                 continue
@@ -271,6 +272,11 @@
             for upstream in self.upstreams.values()
         ]
 
+    def view(self, now) -> dict[str, dict]:
+        """Return the fields of `upstream_status` by name, for the status page."""
+        rows = [dataclasses.asdict(row) for row in self.upstream_status(now)]
+        return {row.pop("name"): row for row in rows}
+
     def service_status(self) -> list[ServiceStatus]:
         """Return the waiting tasks of each service, by class."""
         return [
@@ -341,7 +347,7 @@
     if event.zone_vms != dispatcher.zone_vms:
         deployment.set_zone_vms(dispatcher, event.zone_vms)
     for use in dispatcher.quotas.teams.values():
-        dispatcher.release(use, now)
+        dispatcher.release(use)
 
 
 @on_event.register
--- a/packages/daemon/carobramp_daemon/api.py
+++ b/packages/daemon/carobramp_daemon/api.py
@@ -54,13 +54,16 @@
         self.port = 0
         self.runner = None
         self.operator: OperatorApi | None = None
-        self.active = ActiveRequests(gate)
+        self.active = ActiveRequests(gate, metrics)
 
     async def on_start(self):
         """Listen for callers."""
         app = web.Application(
             client_max_size=self.settings.limits.max_body_bytes,
-            middlewares=[self.active.track, render_errors],
+            middlewares=[
+                self.active.track,
+                render_errors(self.metrics, self.log_line),
+            ],
         )
         app.router.add_post("/v1/submission-ids", self.issue_ids)
         app.router.add_post("/v1/jobs", self.submit_job)
@@ -143,17 +146,21 @@
             deadline=received + message.deadline_ms / 1000,
         )
         answer = await self.submissions.submit(submission)
-        kind = message.priority_class
+        kind = self.class_of(message)
         self.metrics.observe("response_ms", kind, (time.monotonic() - received) * 1000)
         return response_of(answer)
 
-    async def cancel_job(self, request):
-        """Cancel a job here or at its owner.
+    def class_of(self, message):
+        """Return the class of a job, or ``unknown``, since callers choose names."""
+        service = self.tickets.in_force.service(message.service)
+        known = {item.name for item in service.classes} if service else ()
+        name = message.priority_class
+        return name if name in known else "unknown"
 
-        The optional query parameter `team` finds the owner of a caller-made id.
-        """
+    async def cancel_job(self, request):
+        """Cancel a job here or at its owner."""
         name = request.match_info["submission_id"]
-        result = await self.canceller.cancel(name, request.query.get("team", ""))
+        result = await self.canceller.cancel(name)
         if result is CancelResult.UNREACHABLE:
             detail = "the owner of the submission cannot be reached"
             return self.refuse(Reason.OWNER_UNREACHABLE, detail)
--- a/packages/daemon/carobramp_daemon/daemon.py
+++ b/packages/daemon/carobramp_daemon/daemon.py
@@ -123,6 +123,7 @@
     def connect_control(self):
         """Connect tickets, membership and the calls from peers."""
         self.membership.tickets = self.tickets
+        self.membership.team_loads = self.dispatch.dispatcher.team_loads
         self.membership.peer_port = lambda: self.peer_api.port
         self.handlers.heartbeat = self.membership.on_heartbeat
         calls = TicketCalls(self.tickets)
--- a/packages/testing/carobramp_testing/capacity/measure.py
+++ b/packages/testing/carobramp_testing/capacity/measure.py
@@ -123,8 +123,8 @@
         state_digest="0" * 64,
         heard_number=1_000_000,
         live_peers=DESIGN_SIZE.vms - 1,
-        with_loads=bool(teams),
-        team_loads=[number for n in range(teams) for number in (n, 9, 99)],
+        team_loads=[value for n in range(teams) for value in (n, 50, 500)],
+        with_loads=teams > 0,
     )
 
 
