--- a/packages/testing/carobramp_testing/bench/forwarder.py
+++ b/packages/testing/carobramp_testing/bench/forwarder.py
@@ -45,7 +45,7 @@
     parser.add_argument("--targets", required=True)
     args = parser.parse_args()
     targets = [f"{url}/v1/tasks" for url in args.targets.split(",")]
-    asyncio.run(serve([Forwarder(targets).application()], "127.0.0.1", 0))
+    asyncio.run(serve([Forwarder(targets).application()], "127.0.0.1", [0]))
 
 
 if __name__ == "__main__":
