Answer an undecodable body with 400 and follow renamed parts in tests

Cause: a body with `Content-Encoding: gzip` that is not gzip raised an error of aiohttp's parser and was answered with 500.

Change: CallerApi.read turns HttpProcessingError and RequestPayloadError into malformed_request.

--- a/packages/daemon/carobramp_daemon/api.py
+++ b/packages/daemon/carobramp_daemon/api.py
@@ -3,6 +3,7 @@
 import time
 
 from aiohttp import web
+from aiohttp.http_exceptions import HttpProcessingError
 from mode import Service
 
 from carobramp_core.outcomes import Reason
@@ -101,6 +102,9 @@
             limit = self.settings.limits.max_body_bytes
             detail = f"the body is over {limit} bytes"
             return self.refuse(Reason.BODY_TOO_LARGE, detail), b""
+        except (HttpProcessingError, web.RequestPayloadError) as error:
+            detail = f"the body cannot be read: {error}"
+            return self.refuse(Reason.MALFORMED_REQUEST, detail), b""
         message = decode(data, kind)
         if isinstance(message, InvalidInput):
             details = problem(
--- a/packages/testing/carobramp_testing/tests/test_operations_page.py
+++ b/packages/testing/carobramp_testing/tests/test_operations_page.py
@@ -41,7 +41,7 @@
 
     async def test_commands(self):
         """Guards against commands and files that the page shows and nobody ran."""
-        folder = self.deployment.folder.name
+        folder = self.deployment.folder
         for text in blocks("json"):
             name = text.splitlines()[0].removeprefix("// ")
             write_file(folder, name, text.encode())
