Close the callers' listener without resetting queued connections

Cause: tests of planned stops under load lost a request now and then. When a listening socket closes, the kernel resets connections that are established but not accepted, and the server closed connections that had not sent their request.

Ruled out: the drain itself; each lost request was sent after the last answer.

Change: Listener lets the kernel queue no more connections, accepts the queued ones, closes the socket and then waits for the requests on accepted connections.

Conclusion: a caller that is not connected when the VM closes is refused, and its request was not sent. The regression tests are those of test_stops.

--- a/packages/daemon/carobramp_daemon/api.py
+++ b/packages/daemon/carobramp_daemon/api.py
@@ -12,6 +12,7 @@
 from carobramp_daemon.forwards import CancelResult
 from carobramp_daemon.gate import Gate
 from carobramp_daemon.jobs import Submission
+from carobramp_daemon.listener import Listener
 from carobramp_daemon.middleware import ActiveRequests, render_errors
 from carobramp_daemon.operator import OperatorApi
 from carobramp_daemon.problems import problem, problem_response
@@ -54,6 +55,7 @@
         self.log_line = log
         self.port = 0
         self.runner = None
+        self.listener: Listener | None = None
         self.operator: OperatorApi | None = None
         self.active = ActiveRequests(gate, metrics)
 
@@ -84,13 +86,16 @@
         )
         await self.runner.setup()
         vm = self.settings.vm
-        site = web.TCPSite(self.runner, vm.host, vm.caller_port)
-        await site.start()
-        self.port = self.runner.addresses[0][1]
+        self.listener = Listener(
+            self.runner, vm.host, vm.caller_port, lambda: self.active.count
+        )
+        self.port = await self.listener.start()
         self.log_line.info("listening", port=self.port)
 
     async def on_stop(self):
         """Stop listening; answers under way are finished first."""
+        if self.listener is not None:
+            await self.listener.close(ANSWER_WRITE_S)
         if self.runner is not None:
             await self.runner.cleanup()
 
