Test the decisions about submissions; keep rows distinct in a group

Cause: a property test with two claims of one row in a group made both hold, as one transaction found the row absent for both. The registry keeps one job for each id, so that no such group came from the daemon.

Change: a group takes one claim of each row.

--- a/packages/core/carobramp_core/submission/claims.py
+++ b/packages/core/carobramp_core/submission/claims.py
@@ -181,8 +181,22 @@
         size = self.settings.claim_group_max
         if not self.waiting or (len(self.waiting) < size and now < self.due):
             return
-        count = min(size, len(self.waiting))
-        self.send([self.waiting.popleft() for _ in range(count)], now, effects)
+        self.send(self.take_group(size), now, effects)
+
+    def take_group(self, size):
+        """Take up to `size` waiting claims of distinct rows.
+
+        Two claims of one row in a transaction would both find it absent.
+        """
+        group, rest = {}, collections.deque()
+        while self.waiting and len(group) < size:
+            claim = self.waiting.popleft()
+            if claim.key in group:
+                rest.append(claim)
+            else:
+                group[claim.key] = claim
+        self.waiting.extendleft(reversed(rest))
+        return list(group.values())
 
     def send(self, claims, now, effects):
         """Send claims as one group; those that came too late are given up."""
--- /dev/null
+++ b/packages/core/carobramp_core/submission/tests/test_claims.py
@@ -0,0 +1,297 @@
+"""Claims in groups, with lost replies and conflicts."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies as st
+
+from carobramp_core.platform import Committed, Conflict, Row, Unavailable
+from carobramp_core.submission.claims import (
+    MAX_SENDS,
+    ClaimBatcher,
+    ClaimDecided,
+    ClaimHeld,
+    ClaimTaken,
+    ClaimUnknown,
+    ClaimWanted,
+    GroupDue,
+    ReadEnded,
+    ReadRows,
+    SendTransaction,
+    TransactionEnded,
+    choose_removals,
+    claim_key,
+    deletion,
+)
+from carobramp_core.submission.tests.support import (
+    OTHER_INCARNATION,
+    PROFILE,
+    WALL_NOW,
+    Table,
+    caller_made,
+    claim,
+    claim_row,
+)
+from carobramp_schema import decode, encode
+from carobramp_schema.generated.claim import ClaimRow
+from carobramp_schema.generated.settings import SubmissionSettings
+
+SETTINGS = SubmissionSettings(claim_group_ms=5, claim_group_max=3)
+LOST = Unavailable("no reply", maybe_applied=True)
+NOT_SENT = Unavailable("refused", maybe_applied=False)
+
+
+def row_of(wanted, **fields):
+    """Build the row at the key of a claim."""
+    return Row(wanted.key, encode(claim_row(**fields)), 1)
+
+
+def batcher_with(*claims):
+    """Build a batcher that has just sent a group."""
+    batcher = ClaimBatcher(SETTINGS)
+    for wanted in claims:
+        effects = batcher.handle(ClaimWanted(wanted), 0.0)
+    if not effects:
+        effects = batcher.handle(GroupDue(), 1.0)
+    return batcher, effects
+
+
+def verdicts(effects):
+    """Return the verdicts among effects, by submission."""
+    return {e.submission_id: e.verdict for e in effects if isinstance(e, ClaimDecided)}
+
+
+def sent_keys(effects):
+    """Return the keys of the transactions among effects."""
+    return [
+        [condition.key for condition in effect.transaction.conditions]
+        for effect in effects
+        if isinstance(effect, SendTransaction)
+    ]
+
+
+class GroupTests(unittest.TestCase):
+    """Which claims go into a transaction, and when."""
+
+    def test_claims_are_gathered(self):
+        """Guards against one platform write for each claim."""
+        batcher = ClaimBatcher(SETTINGS)
+        wanted = [claim(number) for number in range(2)]
+        for one in wanted:
+            self.assertEqual(batcher.handle(ClaimWanted(one), 0.0), [])
+        self.assertEqual(batcher.next_wakeup(), 0.005)
+        effects = batcher.handle(GroupDue(), 0.005)
+        self.assertEqual(sent_keys(effects), [[one.key for one in wanted]])
+
+    def test_full_group_is_sent_at_once(self):
+        """Guards against a group beyond the bound, or one that waits when full."""
+        wanted = [claim(number) for number in range(3)]
+        _, effects = batcher_with(*wanted)
+        self.assertEqual(sent_keys(effects), [[one.key for one in wanted]])
+
+    def test_one_transaction_at_a_time(self):
+        """Guards against more calls to a store that is slow."""
+        batcher, _ = batcher_with(claim(0))
+        for number in range(1, 9):
+            self.assertEqual(batcher.handle(ClaimWanted(claim(number)), 2.0), [])
+        self.assertIsNone(batcher.next_wakeup())
+        effects = batcher.handle(TransactionEnded(Committed()), 3.0)
+        self.assertEqual([len(keys) for keys in sent_keys(effects)], [3])
+
+
+class VerdictTests(unittest.TestCase):
+    """What each outcome says about the claims of a group."""
+
+    def test_committed(self):
+        """Guards against a committed claim that is not held."""
+        batcher, _ = batcher_with(claim(0), claim(1))
+        effects = batcher.handle(TransactionEnded(Committed()), 1.0)
+        self.assertEqual(set(verdicts(effects).values()), {ClaimHeld()})
+
+    def test_conflict_on_one_row(self):
+        """Guards against claims that fail with another claim of their group."""
+        first, second, third = (claim(number) for number in range(3))
+        batcher, _ = batcher_with(first, second, third)
+        taken = row_of(second, nonce="other", incarnation=OTHER_INCARNATION)
+        effects = batcher.handle(TransactionEnded(Conflict((taken,))), 1.0)
+        row = decode(taken.value, ClaimRow)
+        self.assertEqual(verdicts(effects), {second.submission_id: ClaimTaken(row)})
+        self.assertEqual(sent_keys(effects), [[first.key, third.key]])
+        effects = batcher.handle(TransactionEnded(Committed()), 1.0)
+        self.assertEqual(
+            verdicts(effects),
+            {first.submission_id: ClaimHeld(), third.submission_id: ClaimHeld()},
+        )
+
+    def test_lost_reply_is_read_back(self):
+        """Guards against a claim decided by a reply that did not come."""
+        wanted = claim()
+        cases = {
+            "own": (row_of(wanted), ClaimHeld),
+            "other nonce": (row_of(wanted, nonce="other"), ClaimTaken),
+            "other process": (
+                row_of(wanted, incarnation=OTHER_INCARNATION),
+                ClaimTaken,
+            ),
+            "malformed": (Row(wanted.key, b"{}", 1), ClaimUnknown),
+        }
+        for name, (row, expected) in cases.items():
+            with self.subTest(name):
+                batcher, _ = batcher_with(wanted)
+                effects = batcher.handle(TransactionEnded(LOST), 1.0)
+                self.assertEqual(effects, [ReadRows((wanted.key,))])
+                effects = batcher.handle(ReadEnded((row,)), 1.0)
+                self.assertIsInstance(verdicts(effects)[wanted.submission_id], expected)
+
+    def test_absent_row_proves_nothing(self):
+        """Guards against a claim given up while its insertion may still land."""
+        wanted = claim()
+        batcher, first = batcher_with(wanted)
+        for _ in range(MAX_SENDS - 1):
+            batcher.handle(TransactionEnded(LOST), 1.0)
+            again = batcher.handle(ReadEnded(()), 1.0)
+            self.assertEqual(again, first)
+        batcher.handle(TransactionEnded(LOST), 1.0)
+        effects = batcher.handle(ReadEnded(()), 1.0)
+        self.assertIsInstance(verdicts(effects)[wanted.submission_id], ClaimUnknown)
+
+    def test_unavailable(self):
+        """Guards against a claim that is held without a row."""
+        wanted = claim()
+        for events in ([TransactionEnded(NOT_SENT)], [TransactionEnded(LOST), None]):
+            batcher, _ = batcher_with(wanted)
+            effects = batcher.handle(events[0], 1.0)
+            if len(events) > 1:
+                effects = batcher.handle(ReadEnded(LOST), 1.0)
+            verdict = verdicts(effects)[wanted.submission_id]
+            self.assertIsInstance(verdict, ClaimUnknown)
+
+    def test_late_claim_is_not_sent(self):
+        """Guards against claims for jobs whose deadline passed."""
+        late = claim(0, give_up=0.5)
+        batcher, effects = batcher_with(late)
+        self.assertIsInstance(verdicts(effects)[late.submission_id], ClaimUnknown)
+        self.assertEqual(sent_keys(effects), [])
+        self.assertEqual(batcher.group, ())
+
+
+FAULTS = ("none", "none", "lost after", "lost before", "not sent", "stale", "read lost")
+
+
+class Simulation:
+    """Two processes that claim the same ids at one table, with faults."""
+
+    def __init__(self, faults):
+        self.faults = faults
+        self.table = Table()
+        self.now = 0.0
+        self.batchers = [ClaimBatcher(SETTINGS), ClaimBatcher(SETTINGS)]
+        self.decided: list[tuple[int, ClaimDecided]] = []
+
+    def next_fault(self):
+        """Return the next fault of the schedule, then none."""
+        return self.faults.pop() if self.faults else "none"
+
+    def feed(self, at, event):
+        """Hand an event to a process and carry out what follows."""
+        events = [event]
+        while events:
+            for effect in self.batchers[at].handle(events.pop(0), self.now):
+                if isinstance(effect, ClaimDecided):
+                    self.decided.append((at, effect))
+                else:
+                    events.append(self.carry_out(effect))
+
+    def carry_out(self, effect):
+        """Return the event that a call to the table ends with."""
+        fault = self.next_fault()
+        if isinstance(effect, SendTransaction):
+            if fault == "not sent":
+                return TransactionEnded(NOT_SENT)
+            if fault == "lost before":
+                return TransactionEnded(LOST)
+            outcome = self.table.transact(effect.transaction)
+            return TransactionEnded(LOST if fault == "lost after" else outcome)
+        if fault == "read lost":
+            return ReadEnded(LOST)
+        return ReadEnded(() if fault == "stale" else self.table.read(effect.keys))
+
+
+class ClaimPropertyTests(unittest.TestCase):
+    """Two processes claim the same ids in any order and with any faults."""
+
+    @PROFILE
+    @hypothesis.given(
+        st.lists(
+            st.tuples(st.integers(0, 1), st.integers(0, 3), st.booleans()), max_size=20
+        ),
+        st.lists(st.sampled_from(FAULTS), max_size=20),
+    )
+    def test_one_holder_of_each_id(self, wanted, faults):
+        """Guards against two holders of an id, or a claim without a verdict."""
+        simulation = Simulation(faults)
+        for index, (at, number, due) in enumerate(wanted):
+            one = claim(number, nonce=f"{at}-{index}", vm=f"vm-{at}")
+            simulation.feed(at, ClaimWanted(one))
+            if due:
+                simulation.now += 1.0
+                simulation.feed(at, GroupDue())
+        simulation.now += 1.0
+        for at in (0, 1):
+            while simulation.batchers[at].waiting:
+                simulation.feed(at, GroupDue())
+        self.assertEqual(len(simulation.decided), len(wanted))
+        self.check_holders(simulation)
+
+    def check_holders(self, simulation):
+        """Check the verdicts against the rows."""
+        holders = set()
+        for at, decided in simulation.decided:
+            row = simulation.table.rows.get(f"claim/{decided.submission_id}")
+            if isinstance(decided.verdict, ClaimHeld):
+                self.assertNotIn(decided.submission_id, holders)
+                holders.add(decided.submission_id)
+                self.assertEqual(decode(row.value, ClaimRow).vm, f"vm-{at}")
+            if isinstance(decided.verdict, ClaimTaken):
+                self.assertEqual(decode(row.value, ClaimRow), decided.verdict.row)
+
+
+class RemovalTests(unittest.TestCase):
+    """Which rows are removed."""
+
+    KEPT = 86400.0
+
+    def row(self, age, number=1):
+        """Build a row of an id of the given age."""
+        return Row(claim_key(caller_made(number, WALL_NOW - age)), b"", number)
+
+    def test_only_old_rows(self):
+        """Guards against a removed row whose id could still start work."""
+        old = self.row(self.KEPT + 1, 1)
+        young = self.row(self.KEPT - 1, 2)
+        removal = choose_removals((old, young), 2, WALL_NOW, self.KEPT)
+        self.assertEqual((removal.rows, removal.after), ((old,), None))
+
+    def test_scan_goes_on_after_a_full_page(self):
+        """Guards against old rows that are never reached."""
+        rows = tuple(self.row(self.KEPT + 10 - n, n) for n in range(1, 4))
+        self.assertEqual(
+            choose_removals(rows, 3, WALL_NOW, self.KEPT).after, rows[-1].key
+        )
+        self.assertIsNone(choose_removals(rows, 4, WALL_NOW, self.KEPT).after)
+
+    def test_unknown_keys_stay(self):
+        """Guards against the removal of rows that are no claims."""
+        row = Row("claim/other", b"", 1)
+        removal = choose_removals((row,), 5, WALL_NOW, self.KEPT)
+        self.assertEqual(removal.rows, ())
+
+    def test_removal_is_conditional(self):
+        """Guards against the removal of a row that was written again."""
+        transaction = deletion((self.row(self.KEPT + 1, 7),))
+        self.assertEqual(transaction.conditions[0].version, 7)
+        self.assertIsNone(transaction.writes[0].value)
+
+
+if __name__ == "__main__":
+    unittest.main()
