Test bounds, refusals and removal of claim rows in the daemon

Cause: the bounds on jobs, waiters and forwarded input, and the removal of old claim rows, had no tests; a body over the bound without a submission id was answered with not_run false although it is certain.

Change: tests with a played dispatch; the answer to such a body says not_run.

--- a/packages/daemon/carobramp_daemon/api.py
+++ b/packages/daemon/carobramp_daemon/api.py
@@ -95,18 +95,21 @@
 
     async def read(self, request, kind):
         """Return the checked body and its bytes, or an error response."""
+        not_run = SUBMISSION_HEADER not in request.headers
         try:
             data = await request.read()
         except web.HTTPRequestEntityTooLarge:
             limit = self.settings.limits.max_body_bytes
             detail = f"the body is over {limit} bytes"
-            return self.refuse(Reason.BODY_TOO_LARGE, detail), b""
+            self.metrics.count("refusals", Reason.BODY_TOO_LARGE)
+            details = problem(Reason.BODY_TOO_LARGE, detail, not_run=not_run)
+            return problem_response(details), b""
         message = decode(data, kind)
         if isinstance(message, InvalidInput):
             details = problem(
                 Reason.MALFORMED_REQUEST,
                 str(message),
-                not_run=SUBMISSION_HEADER not in request.headers,
+                not_run=not_run,
                 invalid=message,
             )
             self.metrics.count("refusals", Reason.MALFORMED_REQUEST)
--- /dev/null
+++ b/packages/daemon/carobramp_daemon/tests/test_submission.py
@@ -0,0 +1,286 @@
+"""Bounds of the submission service and removal of claim rows."""
+
+import asyncio
+import json
+import unittest
+
+from carobramp_core.dispatch.messages import JobCancelled, JobFinished, JobSubmitted
+from carobramp_core.outcomes import JobDone, JobFailed, JobRefused, Reason
+from carobramp_core.platform import LeaseHeld, Unavailable
+from carobramp_core.submission.claims import claim_key
+from carobramp_core.submission.ids import IdIssuer, parse_caller_made, parse_id
+from carobramp_daemon.claims import ClaimService
+from carobramp_daemon.forwarded import ForwardHandlers
+from carobramp_daemon.gate import Gate
+from carobramp_daemon.jobs import Submission
+from carobramp_daemon.metrics import Metrics
+from carobramp_daemon.submission import MAX_WAITERS, SubmissionService
+from carobramp_schema import encode
+from carobramp_schema.generated import peer_pb2
+from carobramp_schema.generated.settings import SubmissionSettings
+from carobramp_testing.builders import caller_made_id, job_request, vm_settings
+from carobramp_testing.standins.store import Store
+
+INCARNATION = "0" * 16
+TIMEOUT_S = 10
+MAX_JOBS = 2
+
+
+class Quiet:
+    """Log that drops its lines."""
+
+    def info(self, sentence, **fields):
+        """Drop a line."""
+
+
+class Dispatch:
+    """Keeps the events that it is sent."""
+
+    def __init__(self):
+        self.events = []
+
+    def send(self, event):
+        """Keep an event."""
+        self.events.append(event)
+
+
+class Forwarder:
+    """Forwards nothing."""
+
+    def full(self):
+        """There is always room."""
+        return False
+
+
+class ServiceCase(unittest.IsolatedAsyncioTestCase):
+    """A submission service with a dispatch that the test plays."""
+
+    def setUp(self):
+        """Build the service."""
+        limits = {"max_jobs": MAX_JOBS}
+        settings = vm_settings("vm-a", "http://127.0.0.1:1", limits=limits)
+        self.issuer = IdIssuer("vm-a", INCARNATION, b"key")
+        self.dispatch = Dispatch()
+        self.service = SubmissionService(
+            settings,
+            Gate(),
+            self.issuer,
+            self.dispatch,
+            Forwarder(),
+            None,
+            lambda: True,
+            Metrics(),
+            Quiet(),
+        )
+
+    def submit(self, key=None, deadline=1000.0, **fields):
+        """Submit a job in a task."""
+        now = asyncio.get_running_loop().time()
+        request = job_request(**fields)
+        submission = Submission(
+            parse_id(key), request, encode(request), now, now + deadline
+        )
+        return asyncio.create_task(self.service.submit(submission))
+
+    async def problem(self, task):
+        """Return the problem that a submission ends with."""
+        async with asyncio.timeout(TIMEOUT_S):
+            return json.loads((await task).body)
+
+    async def running(self, count):
+        """Let tasks run until a number of jobs was handed to dispatch."""
+        async with asyncio.timeout(TIMEOUT_S):
+            while (
+                sum(isinstance(e, JobSubmitted) for e in self.dispatch.events) < count
+            ):
+                await asyncio.sleep(0)
+
+    def finish(self, name, outcome=None):
+        """Finish a job."""
+        self.service.finished(JobFinished(name, outcome or JobDone((1,), 1.0)))
+
+
+class BoundTests(ServiceCase):
+    """Bounds on jobs and waiters."""
+
+    async def test_too_many_jobs(self):
+        """Guards against more jobs than the bound, and a refusal that changes."""
+        keys = self.service.issue(MAX_JOBS + 1)
+        tasks = [self.submit(key) for key in keys[:MAX_JOBS]]
+        await self.running(MAX_JOBS)
+        refused = await self.problem(self.submit(keys[-1]))
+        self.assertEqual(
+            (refused["reason"], refused["not_run"]), ("too_many_jobs", True)
+        )
+        made = await self.problem(self.submit(caller_made_id(1)))
+        self.assertEqual((made["reason"], made["not_run"]), ("too_many_jobs", False))
+        for key in keys[:MAX_JOBS]:
+            self.finish(key)
+        await asyncio.gather(*tasks)
+        self.assertEqual(await self.problem(self.submit(keys[-1])), refused)
+        self.assertEqual(len(self.dispatch.events), MAX_JOBS)
+
+    async def test_too_many_waiters(self):
+        """Guards against unbounded callers that wait for one submission."""
+        (key,) = self.service.issue(1)
+        tasks = [self.submit(key) for _ in range(MAX_WAITERS)]
+        await self.running(1)
+        refused = await self.problem(self.submit(key))
+        self.assertEqual(
+            (refused["reason"], refused["not_run"]), ("too_many_jobs", False)
+        )
+        self.finish(key)
+        answers = await asyncio.gather(*tasks)
+        self.assertEqual(len(set(answers)), 1)
+
+    async def test_evicted_answer(self):
+        """Guards against a second start after the answer was evicted."""
+        (key,) = self.service.issue(1)
+        task = self.submit(key)
+        await self.running(1)
+        self.finish(key)
+        await task
+        self.service.registry.evict_first()
+        body = await self.problem(self.submit(key))
+        self.assertEqual((body["reason"], body["not_run"]), ("answer_evicted", False))
+        self.assertEqual(len(self.dispatch.events), 1)
+
+
+class OutcomeTests(ServiceCase):
+    """What callers are told."""
+
+    async def test_not_run(self):
+        """Guards against a `not_run` that dispatch did not state."""
+        outcomes = [
+            (JobRefused(Reason.QUEUE_FULL, "full"), True),
+            (JobFailed(Reason.DEADLINE_EXCEEDED, "late", not_run=True), True),
+            (JobFailed(Reason.OUTCOME_UNKNOWN, "unknown"), False),
+        ]
+        for count, (outcome, not_run) in enumerate(outcomes, 1):
+            (key,) = self.service.issue(1)
+            task = self.submit(key)
+            await self.running(count)
+            self.finish(key, outcome)
+            body = await self.problem(task)
+            self.assertEqual(
+                (body["reason"], body["not_run"]), (outcome.reason, not_run)
+            )
+            self.assertEqual(await self.problem(self.submit(key)), body)
+
+    async def test_deadline_passed_before_the_start(self):
+        """Guards against a start after the deadline."""
+        (key,) = self.service.issue(1)
+        body = await self.problem(self.submit(key, deadline=-1.0))
+        self.assertEqual((body["reason"], body["not_run"]), ("deadline_exceeded", True))
+        self.assertEqual(self.dispatch.events, [])
+
+    async def test_caller_without_id_disconnects(self):
+        """Guards against work that nobody can ask for."""
+        task = self.submit()
+        await self.running(1)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.assertIsInstance(self.dispatch.events[-1], JobCancelled)
+
+    async def test_caller_with_id_disconnects(self):
+        """Guards against a job that ends with the connection of its caller."""
+        (key,) = self.service.issue(1)
+        task = self.submit(key)
+        await self.running(1)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.assertEqual(len(self.dispatch.events), 1)
+        again = self.submit(key)
+        await asyncio.sleep(0)
+        self.finish(key)
+        self.assertEqual((await again).status, 200)
+
+
+class ForwardedTests(ServiceCase):
+    """Calls from other entry VMs with content that cannot be trusted."""
+
+    async def test_unusable_forwards(self):
+        """Guards against a forward that raises, or starts a job it should not."""
+        (key,) = self.service.issue(1)
+        body = encode(job_request())
+        cases = {
+            "submission_invalid": {"submission_id": ""},
+            "body_too_large": {"body": b"x" * (1 << 21)},
+            "malformed_request": {"body": b"{}"},
+            "owner_gone": {"incarnation": "f" * 16},
+        }
+        handlers = ForwardHandlers(self.service, Metrics())
+        for reason, fields in cases.items():
+            with self.subTest(reason):
+                message = {
+                    "submission_id": key,
+                    "incarnation": INCARNATION,
+                    "body": body,
+                    "remaining_ms": 1000,
+                } | fields
+                reply = await handlers.forward(peer_pb2.ForwardRequest(**message))
+                problem = json.loads(reply.body)
+                self.assertEqual(
+                    (problem["reason"], problem["not_run"]), (reason, False)
+                )
+        self.assertEqual(self.dispatch.events, [])
+
+    async def test_cancel_for_another_incarnation(self):
+        """Guards against a cancellation meant for an earlier process."""
+        (key,) = self.service.issue(1)
+        task = self.submit(key)
+        await self.running(1)
+        handlers = ForwardHandlers(self.service, Metrics())
+        for incarnation, found in (("f" * 16, False), (INCARNATION, True)):
+            request = peer_pb2.CancelRequest(submission_id=key, incarnation=incarnation)
+            self.assertEqual((await handlers.cancel(request)).found, found)
+        self.finish(key)
+        await task
+
+
+class Platform:
+    """The stand-in store behind the interface of the platform."""
+
+    def __init__(self):
+        self.store = Store()
+        self.failing = False
+
+    async def transact(self, transaction, purpose):
+        """Carry out a transaction."""
+        return self.store.transact(transaction)
+
+    async def scan(self, prefix, after, limit, purpose):
+        """Scan rows."""
+        if self.failing:
+            return Unavailable("down", maybe_applied=False)
+        return self.store.scan(prefix, after, limit)
+
+    async def acquire(self, name, holder, seconds, purpose):
+        """Take a lease."""
+        return LeaseHeld(holder, seconds)
+
+
+class RemovalTests(unittest.IsolatedAsyncioTestCase):
+    """One pass over the claim rows."""
+
+    async def test_pass(self):
+        """Guards against rows that stay for ever, or go too early."""
+        platform = Platform()
+        young = [caller_made_id(seed, age=23 * 3600) for seed in range(3)]
+        old = [caller_made_id(seed, age=25 * 3600) for seed in range(150)]
+        for text in young + old:
+            platform.store.write(claim_key(parse_caller_made(text)), b"{}")
+        platform.store.write("ticket/000000000001", b"{}")
+        settings = SubmissionSettings()
+        service = ClaimService(settings, platform, "me", None, Metrics(), Quiet())
+        platform.failing = True
+        await service.remove_pass()
+        self.assertEqual(len(platform.store.rows), len(young + old) + 1)
+        platform.failing = False
+        await service.remove_pass()
+        kept = {claim_key(parse_caller_made(text)) for text in young}
+        self.assertEqual(set(platform.store.rows), kept | {"ticket/000000000001"})
+
+
+if __name__ == "__main__":
+    unittest.main()
