--- a/packages/core/carobramp_core/submission/tests/test_ids.py
+++ b/packages/core/carobramp_core/submission/tests/test_ids.py
@@ -90,6 +90,12 @@
         self.assertEqual(isinstance(parsed, NoId), text is None)
         if isinstance(parsed, InvalidId):
             self.assertLessEqual(len(parsed.text), MAX_ID_CHARS)
+            self.assertTrue(parsed.text.isascii())
+
+    def test_undecodable_header(self):
+        """Guards against a submission id that no answer can be encoded with."""
+        text = b"caf\xe9".decode("utf-8", "surrogateescape")
+        self.assertEqual(parse_id(text), InvalidId("caf?"))
 
 
 if __name__ == "__main__":
--- a/packages/daemon/carobramp_daemon/api.py
+++ b/packages/daemon/carobramp_daemon/api.py
@@ -3,6 +3,7 @@
 import time
 
 from aiohttp import web
+from aiohttp.http_exceptions import HttpProcessingError
 from mode import Service
 
 from carobramp_core.outcomes import Reason
@@ -101,9 +102,10 @@
         except web.HTTPRequestEntityTooLarge:
             limit = self.settings.limits.max_body_bytes
             detail = f"the body is over {limit} bytes"
-            self.metrics.count("refusals", Reason.BODY_TOO_LARGE)
-            details = problem(Reason.BODY_TOO_LARGE, detail, not_run=not_run)
-            return problem_response(details), b""
+            return self.refuse(Reason.BODY_TOO_LARGE, detail, not_run=not_run), b""
+        except (HttpProcessingError, web.RequestPayloadError) as error:
+            detail = f"the body cannot be read: {error}"
+            return self.refuse(Reason.MALFORMED_REQUEST, detail, not_run=not_run), b""
         message = decode(data, kind)
         if isinstance(message, InvalidInput):
             details = problem(
@@ -116,10 +118,10 @@
             return problem_response(details), data
         return message, data
 
-    def refuse(self, reason, detail, retry_after=0.0):
+    def refuse(self, reason, detail, retry_after=0.0, not_run=False):
         """Count and build a refusal that carries no submission."""
         self.metrics.count("refusals", reason)
-        return problem_response(problem(reason, detail), retry_after)
+        return problem_response(problem(reason, detail, not_run=not_run), retry_after)
 
     async def issue_ids(self, request):
         """Hand out submission ids.
