--- a/packages/daemon/carobramp_daemon/api.py
+++ b/packages/daemon/carobramp_daemon/api.py
@@ -101,31 +101,32 @@
 
     async def read(self, request, kind):
         """Return the checked body and its bytes, or an error response."""
+        not_run = SUBMISSION_HEADER not in request.headers
         try:
             data = await request.read()
         except web.HTTPRequestEntityTooLarge:
             limit = self.settings.limits.max_body_bytes
             detail = f"the body is over {limit} bytes"
-            return self.refuse(Reason.BODY_TOO_LARGE, detail), b""
+            return self.refuse(Reason.BODY_TOO_LARGE, detail, not_run=not_run), b""
         except (HttpProcessingError, web.RequestPayloadError) as error:
             detail = f"the body cannot be read: {error}"
-            return self.refuse(Reason.MALFORMED_REQUEST, detail), b""
+            return self.refuse(Reason.MALFORMED_REQUEST, detail, not_run=not_run), b""
         message = decode(data, kind)
         if isinstance(message, InvalidInput):
             details = problem(
                 Reason.MALFORMED_REQUEST,
                 str(message),
-                not_run=SUBMISSION_HEADER not in request.headers,
+                not_run=not_run,
                 invalid=message,
             )
             self.metrics.count("refusals", Reason.MALFORMED_REQUEST)
             return problem_response(details), data
         return message, data
 
-    def refuse(self, reason, detail, retry_after=0.0):
+    def refuse(self, reason, detail, retry_after=0.0, not_run=False):
         """Count and build a refusal that carries no submission."""
         self.metrics.count("refusals", reason)
-        return problem_response(problem(reason, detail), retry_after)
+        return problem_response(problem(reason, detail, not_run=not_run), retry_after)
 
     async def issue_ids(self, request):
         """Hand out submission ids.
