--- a/packages/core/carobramp_core/membership/tests/test_view.py
+++ b/packages/core/carobramp_core/membership/tests/test_view.py
@@ -183,15 +183,22 @@
         """Guards against shares that miss VMs of other zones."""
         load = (PeerLoad("club", 2, 1),)
         self.hear_all(1.0, zone_peers=7, loads=load)
-        seen = self.view.peers_seen(1.0)
+        seen = self.view.summary((), 1.0).peers_seen
         self.assertEqual((seen.zone_vms, seen.all_vms), (8, 120))
         # Seven VMs of the own zone and one sum for each of 14 other zones.
         self.assertEqual(seen.loads, (PeerLoad("club", 42, 21),))
 
+    def test_sum_of_the_own_zone(self):
+        """Guards against telling other zones only a part of the zone's loads."""
+        self.hear_all(1.0, loads=(PeerLoad("club", 2, 1),))
+        summary = self.view.summary((PeerLoad("club", 1, 0),), 1.0)
+        self.assertEqual(summary.zone_peers, 7)
+        self.assertEqual(summary.zone_loads, (PeerLoad("club", 15, 7),))
+
     def test_partitioned_zones_count_for_nothing(self):
         """Guards against reserving slots for VMs that cannot be reached."""
         self.hear_all(1.0, zone_peers=7, loads=(PeerLoad("club", 2, 1),))
-        seen = self.view.peers_seen(16.0)
+        seen = self.view.summary((), 16.0).peers_seen
         self.assertEqual((seen.zone_vms, seen.all_vms, seen.loads), (1, 1, ()))
 
 
--- a/packages/core/carobramp_core/membership/view.py
+++ b/packages/core/carobramp_core/membership/view.py
@@ -119,6 +119,19 @@
         return now - (self.added_at if self.heard_at is None else self.heard_at)
 
 
+@dataclasses.dataclass(frozen=True)
+class Summary:
+    """What is known of the live VMs together.
+
+    `zone_peers` counts those of this zone without this one, `zone_loads` sums up
+    this zone with this VM.
+    """
+
+    zone_peers: int
+    zone_loads: tuple[PeerLoad, ...]
+    peers_seen: PeersSeen
+
+
 class MembershipView:
     """Candidates and their liveness, owned by the membership task."""
 
@@ -219,14 +232,27 @@
         preferred = silent if turn % SILENT_TURN == 0 else heard
         return min(preferred or members, key=last_tried)
 
-    def peers_seen(self, now: float) -> PeersSeen:
-        """Return what dispatch needs to know of the other VMs."""
-        far = self.far_zones(now)
+    def summary(self, own: tuple[PeerLoad, ...], now: float) -> "Summary":
+        """Return what heartbeats to other zones and dispatch need to know.
+
+        Parameters
+        ==========
+
+        own : loads of this VM
+        now : present time
+        """
         near = self.zone_peers(now)
+        far = self.far_zones(now)
         zone_vms = 1 + len(near)
-        sources = near + [m for m, _ in far.values()]
         all_vms = zone_vms + sum(count for _, count in far.values())
-        return PeersSeen(zone_vms, all_vms, sum_loads(m.loads for m in sources))
+        near_loads = sum_loads(member.loads for member in near)
+        far_loads = [member.loads for member, _ in far.values()]
+        loads = sum_loads([near_loads, *far_loads])
+        return Summary(
+            zone_peers=len(near),
+            zone_loads=sum_loads([own, near_loads]),
+            peers_seen=PeersSeen(zone_vms, all_vms, loads),
+        )
 
     def far_zones(self, now):
         """Return for each other zone heard from its newest teller and VM count.
@@ -245,10 +271,6 @@
             zones[zone] = (teller, 1 + newest.status.zone_peers)
         return zones
 
-    def zone_loads(self, own: tuple[PeerLoad, ...], now: float):
-        """Return the loads of this zone: `own` and those of its live VMs."""
-        return sum_loads([own, *(m.loads for m in self.zone_peers(now))])
-
     @property
     def upstreams_leaving(self) -> frozenset[str]:
         """Upstreams that the list marks as leaving."""
@@ -269,11 +291,14 @@
     >>> sum_loads([(PeerLoad("club", 1, 0),), (PeerLoad("club", 2, 5),)])
     (PeerLoad(team='club', running=3, waiting=5),)
     """
-    totals: dict[str, tuple[int, int]] = {}
-    for load in (load for group in loads for load in group):
-        running, waiting = totals.get(load.team, (0, 0))
-        totals[load.team] = (running + load.running, waiting + load.waiting)
-    return tuple(PeerLoad(team, *totals[team]) for team in sorted(totals))
+    running: dict[str, int] = {}
+    waiting: dict[str, int] = {}
+    for group in loads:
+        for load in group:
+            team = load.team
+            running[team] = running.get(team, 0) + load.running
+            waiting[team] = waiting.get(team, 0) + load.waiting
+    return tuple(PeerLoad(t, running[t], waiting[t]) for t in sorted(running))
 
 
 @functools.singledispatch
--- a/packages/daemon/carobramp_daemon/membership.py
+++ b/packages/daemon/carobramp_daemon/membership.py
@@ -287,9 +287,10 @@
         self.take(Tick())
         now = time.monotonic()
         self.metrics.set("live_peers", len(self.view.live_peers(now)))
-        self.zone_peers = len(self.view.zone_peers(now))
-        self.zone_loads = self.view.zone_loads(self.own_loads(), now)
-        seen = self.view.peers_seen(now)
+        summary = self.view.summary(self.own_loads(), now)
+        self.zone_peers = summary.zone_peers
+        self.zone_loads = summary.zone_loads
+        seen = summary.peers_seen
         if seen != self.last_seen:
             self.last_seen = seen
             self.dispatch.send(seen)
