--- a/packages/daemon/carobramp_daemon/tickets.py
+++ b/packages/daemon/carobramp_daemon/tickets.py
@@ -94,6 +94,7 @@
         self.metrics = metrics
         self.log_line = log
         self.in_force = DeploymentState()
+        self.told = self.in_force
         self.digest = ""
         self.ready = False
         self.not_ready_reason = NO_STATE
@@ -264,15 +265,28 @@
 
     async def apply_all(self, records):
         """Apply records in order; return what is wrong with the first bad one."""
+        fault = None
         for record in records:
             if record.ticket.number <= self.in_force.number:
                 continue
             after = apply_record(self.in_force, record)
             if isinstance(after, BadRecord):
-                return NothingCame(after.detail, invalid=True)
+                fault = NothingCame(after.detail, invalid=True)
+                break
             self.bring_into_force(after, record)
             await asyncio.sleep(0)
-        return None
+        self.tell_dispatch()
+        return fault
+
+    def tell_dispatch(self):
+        """Give dispatch the state in force, unless it has it.
+
+        Dispatch takes tens of milliseconds for a state with 1,800 upstreams, so the
+        states within one fetched run of tickets are left out.
+        """
+        if self.told is not self.in_force:
+            self.told = self.in_force
+            self.dispatch.send(StateInForce(self.in_force))
 
     def bring_into_force(self, state, record=None):
         """Make a newer state the one in force."""
@@ -287,7 +301,6 @@
         self.metrics.set("state_number", state.number)
         self.log_line.info("in force", number=state.number)
         self.observe(CameIntoForce(state.number, self.digest))
-        self.dispatch.send(StateInForce(state))
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -300,6 +313,7 @@
         if repairs:
             self.log_line.info("state replaced by the table's", number=state.number)
         self.bring_into_force(state)
+        self.tell_dispatch()
         return None
 
     async def wait_for_number(self, number, timeout):
