Estimate deadlines in a burst by the measured rate of starts

The wait of a team counted the backlog of teams at their quota. Change: while tasks wait for upstreams, admission takes at most the measured rate of starts; in a queue the mean speed; a team's wait is bounded by its share.

--- a/packages/core/carobramp_core/dispatch/admission.py
+++ b/packages/core/carobramp_core/dispatch/admission.py
@@ -44,12 +44,12 @@
     if not any(can_return(upstream) for upstream in pool.members()):
         detail = f"service {pool.name} has no upstream that takes tasks"
         return JobRefused(Reason.NO_UPSTREAM, detail, MIN_RETRY_AFTER_S)
-    wait = wait_s(job)
+    wait = wait_s(job, now)
     if pool.queue.tasks() + len(job.waiting) > pool.state.queue_limit:
         detail = f"over {pool.state.queue_limit} tasks would wait"
         return JobRefused(Reason.QUEUE_FULL, detail, retry_after(wait))
     left = job.job.deadline - now
-    late = wait + alone_s(job) - left
+    late = wait + alone_s(job, now) - left
     if late > 0:
         detail = f"expected {late:.3f} s after the deadline"
         return JobRefused(Reason.DEADLINE_UNMEETABLE, detail, retry_after(late))
@@ -66,31 +66,40 @@
     return not (upstream.state.leaving or leaving)
 
 
-def wait_s(job: JobState):
-    """Return the expected time until the work that goes before a job is placed."""
-    rate = job.pool.rate()
+def wait_s(job: JobState, now):
+    """Return the expected time until the work that goes before a job is placed.
+
+    Teams share by weight, so a job waits no longer than its own team's work takes
+    with the team's share of the rate.
+    """
+    rate = job.pool.sure_rate(now)
     if rate <= 0:
         return 0.0
-    return job.pool.queue.work_before(job.queue) / rate / MS_PER_S
+    everything = job.pool.queue.work_before(job.queue)
+    own = job.team.waiting_work_ms / job.queue.share_of(job.team)
+    return min(everything, own) / rate / MS_PER_S
 
 
-def alone_s(job: JobState):
+def alone_s(job: JobState, now):
     """Return the expected time of a job without other load.
 
-    Only the fastest upstream bounds a single task, so that a job is not refused
-    that could just be done.
+    While slots are free, the fastest upstream bounds a single task, so that no job
+    is refused that could just be done; in a queue, tasks get any upstream.
     """
     pool = job.pool
-    rate, top = pool.rate(), max(pool.near.top_speed, pool.far.top_speed)
-    if rate <= 0 or top <= 0:
+    rate = pool.sure_rate(now)
+    speed = max(pool.near.top_speed, pool.far.top_speed)
+    if pool.saturated:
+        speed = pool.mean_speed()
+    if rate <= 0 or speed <= 0:
         return 0.0
-    longest = job.expected_ms[job.waiting[-1]] / top
+    longest = job.expected_ms[job.waiting[-1]] / speed
     return max(longest, job.waiting_ms / rate) / MS_PER_S
 
 
 def team_backlog_s(job: JobState, quota_slots):
     """Return the time in which the slots of its quota let a team's work finish."""
-    speed = max(job.pool.near.mean_speed(), job.pool.far.mean_speed())
+    speed = job.pool.mean_speed()
     work_ms = job.team.waiting_work_ms + job.waiting_ms
     return work_ms / (max(1, quota_slots) * speed) / MS_PER_S
 
--- a/packages/core/carobramp_core/dispatch/engine.py
+++ b/packages/core/carobramp_core/dispatch/engine.py
@@ -114,7 +114,7 @@
 
     def refresh(self, now):
         """Renew what changes with time: estimates, stragglers, quota parts."""
-        elapsed = min(now - self.refreshed_at, FAR_REFRESH_S)
+        elapsed = now - self.refreshed_at
         self.refreshed_at = now
         for pool in self.pools.values():
             self.refresh_pool(pool, now, elapsed)
@@ -125,11 +125,12 @@
         """Renew the estimates of one service."""
         far_due = now - pool.far_refreshed_at >= FAR_REFRESH_S
         groups = [pool.near, pool.far] if far_due else [pool.near]
+        pool.measure_drain(now, elapsed)
         pool.normalize_speeds()
         for group in groups:
             for upstream in group.members.values():
                 upstream.check_stragglers(now)
-                upstream.forget_speed(now, elapsed)
+                upstream.forget_speed(now, min(elapsed, FAR_REFRESH_S))
             group.refresh(now)
         if far_due:
             pool.far_refreshed_at = now
@@ -153,6 +154,7 @@
     def start_tasks(self, pool: ServicePool, now, effects):
         """Start waiting tasks of one service while there is an upstream for them."""
         blocked: set[str] = set()
+        pool.saturated = False
         while True:
             queue = pool.queue.next_class(blocked)
             if queue is None:
@@ -164,6 +166,7 @@
             upstream = choose(pool, self.choice(job), now, self.rng)
             if upstream is None:
                 blocked.add(queue.name)
+                pool.saturated |= not queue.reserve_percent
                 continue
             self.start(job, queue.take(job), upstream, now, effects)
 
@@ -188,6 +191,7 @@
         self.running[task_id] = job.running[index] = running
         upstream.running[task_id] = running
         job.team.running += 1
+        job.pool.started_ms += job.expected_ms[index]
         job.pool.budget.started(job.pool.state.retry_percent)
         job.pool.group(upstream).push(upstream, now)
         queued_ms = (now - job.job.received) * MS_PER_S
--- a/packages/core/carobramp_core/dispatch/pool.py
+++ b/packages/core/carobramp_core/dispatch/pool.py
@@ -26,6 +26,8 @@
 # Part of the slots of one upstream that may be reserved. Spread evenly, reserved
 # slots lie mostly on slow upstreams, which interactive tasks then have to use.
 RESERVED_PART = 0.75
+DRAIN_WEIGHT = 0.2
+DRAIN_FRESH_S = 0.5
 ZONE_FAILURES = 3
 ZONE_BACKOFF_MIN_S = 1.0
 ZONE_BACKOFF_MAX_S = 30.0
@@ -202,6 +204,11 @@
         self.refreshed_at = -math.inf
         self.far_refreshed_at = -math.inf
         self.turn = 0
+        self.saturated = False
+        self.was_saturated = False
+        self.started_ms = 0.0
+        self.drain_rate = 0.0
+        self.drained_at = -math.inf
         self.set_state(state)
 
     def set_state(self, state: ServiceState):
@@ -227,6 +234,32 @@
         """Return the work per unit of time that this VM can place."""
         return self.near.rate + self.far.rate
 
+    def mean_speed(self):
+        """Return the mean speed of the better group that has usable upstreams."""
+        groups = [group for group in (self.near, self.far) if group.usable]
+        return max((group.mean_speed() for group in groups), default=1.0)
+
+    def measure_drain(self, now, elapsed):
+        """Measure the rate of starts while tasks wait for upstreams."""
+        if self.saturated and self.was_saturated and elapsed > 0:
+            rate = self.started_ms / elapsed / 1000
+            fresh = now - self.drained_at < DRAIN_FRESH_S
+            weight = DRAIN_WEIGHT if fresh else 1.0
+            self.drain_rate += weight * (rate - self.drain_rate)
+            self.drained_at = now
+        self.was_saturated = self.saturated
+        self.started_ms = 0.0
+
+    def sure_rate(self, now):
+        """Return the rate to expect: while saturated, at most the measured one.
+
+        Each VM of a saturated deployment counts on slots of other zones that the
+        others count on, too.
+        """
+        if now - self.drained_at < DRAIN_FRESH_S:
+            return min(self.rate(), self.drain_rate)
+        return self.rate()
+
     def members(self):
         """Yield the upstreams of the service."""
         yield from self.near.members.values()
--- a/packages/core/carobramp_core/dispatch/queue.py
+++ b/packages/core/carobramp_core/dispatch/queue.py
@@ -152,6 +152,13 @@
         heapq.heapreplace(self.active, entry)
         return index
 
+    def share_of(self, use):
+        """Return the share of a team among the teams that take part."""
+        others = sum(
+            team.use.weight for _, _, team in self.active if team.use is not use
+        )
+        return use.weight / (use.weight + others)
+
     def drop(self, job: JobState):
         """Remove the waiting tasks of a job that ended."""
         if job.waiting:
--- a/packages/testing/carobramp_testing/bench/overhead.py
+++ b/packages/testing/carobramp_testing/bench/overhead.py
@@ -1,8 +1,8 @@
 """Added time, CPU per task start, and memory.
 
 Added time is the median response through the daemon less that of direct requests to
-a stand-in. The daemon and a bare forwarding loop send the same tasks to the same stand-ins in
-the same run, so that the comparison does not depend on the machine.
+a stand-in. The daemon and a bare forwarding loop send the same tasks to the same
+stand-ins in the same run, so that the comparison does not depend on the machine.
 """
 
 import asyncio
