Add variants of decisions to the benchmarks

Guards off, classes alike, other cancel thresholds, no retry budget and other spill thresholds are chosen by tickets and settings, so that real processes compare them.

--- a/packages/testing/carobramp_testing/bench/__main__.py
+++ b/packages/testing/carobramp_testing/bench/__main__.py
@@ -9,7 +9,7 @@
 from carobramp_testing.bench.overhead import run_overhead
 from carobramp_testing.bench.report import lines_of, missed, table, write_svg
 from carobramp_testing.bench.run import run_scenario
-from carobramp_testing.bench.scenarios import SCENARIOS, SITES
+from carobramp_testing.bench.scenarios import SCENARIOS, SITES, VARIANTS
 
 POLICIES = (
     "earliest_finish",
@@ -22,9 +22,10 @@
 COMPARED = ("steady-70", "steady-90")
 ALL = "all"
 OVERHEAD = "overhead"
+VARIANT = "variants"
 FLAGS = flags.FLAGS
 
-flags.DEFINE_list("scenario", [ALL], "Scenarios, `overhead` or `all`.")
+flags.DEFINE_list("scenario", [ALL], "Scenarios, `overhead`, `variants` or `all`.")
 flags.DEFINE_enum("site", "de-klep", sorted(SITES), "Deployment.")
 flags.DEFINE_list("policy", ["earliest_finish"], "Policies, or `all`.")
 flags.DEFINE_float("seconds", 10.0, "Length of the load of each run.", 1.0)
@@ -33,7 +34,9 @@
 
 def chosen_runs():
     """Return the (scenario, policy) pairs to run."""
-    names = list(SCENARIOS) if ALL in FLAGS.scenario else FLAGS.scenario
+    names = list(SCENARIOS) if ALL in FLAGS.scenario else list(FLAGS.scenario)
+    if VARIANT in names:
+        names = list(VARIANTS)
     policies = POLICIES if ALL in FLAGS.policy else FLAGS.policy
     pairs = []
     for name in names:
@@ -50,7 +53,11 @@
     alone = {}
     for name, policy in chosen_runs():
         run = await run_scenario(
-            SCENARIOS[name], SITES[FLAGS.site], policy, FLAGS.seconds, FLAGS.seed
+            (SCENARIOS | VARIANTS)[name],
+            SITES[FLAGS.site],
+            policy,
+            FLAGS.seconds,
+            FLAGS.seed,
         )
         if name == "interactive-alone":
             alone[policy] = run.values["p99_ms"]
--- a/packages/testing/carobramp_testing/bench/run.py
+++ b/packages/testing/carobramp_testing/bench/run.py
@@ -77,7 +77,8 @@
         vms_per_zone=VMS_PER_ZONE,
         speeds=scenario.speeds,
         slots=SLOTS,
-        service={"policy": policy},
+        service={"policy": policy, **scenario.service},
+        settings={"dispatch": dict(scenario.settings)},
     )
     deployment.site = site
     async with deployment:
--- a/packages/testing/carobramp_testing/bench/scenarios.py
+++ b/packages/testing/carobramp_testing/bench/scenarios.py
@@ -7,6 +7,7 @@
 import dataclasses
 from collections.abc import Callable, Mapping
 
+from carobramp_schema.generated.ticket import GuardSettings, PriorityClass
 from carobramp_testing.load.plan import Stream
 
 SLOTS = 8
@@ -73,7 +74,8 @@
 class Scenario:
     """One run: streams as a function of site and capacity, faults, bounds.
 
-    Capacity is given in milliseconds of work per second.
+    Capacity is given in milliseconds of work per second. `service` and `settings`
+    change fields of the service's state and the dispatch settings.
     """
 
     name: str
@@ -83,6 +85,8 @@
     vm_weights: tuple[float, ...] = ()
     quota: int = 0
     bounds: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    service: Mapping = dataclasses.field(default_factory=dict)
+    settings: Mapping = dataclasses.field(default_factory=dict)
 
 
 def interactive(part, name="", **fields):
@@ -226,3 +230,56 @@
         ),
     )
 }
+
+
+UNEVEN_ZONES = (4.0, 4.0, 1.0, 1.0, 1.0, 1.0)
+NEVER_MS = 600_000
+CLASSES_ALIKE = [
+    PriorityClass("interactive", max_wait_ms=0),
+    PriorityClass("batch", max_wait_ms=0),
+]
+
+
+def variant(name, base, **fields):
+    """Return a scenario with other fields and without bounds."""
+    return dataclasses.replace(SCENARIOS[base], name=name, bounds={}, **fields)
+
+
+def spill_variant(threshold_ms):
+    """Return a scenario with uneven zones and a spill threshold."""
+    return Scenario(
+        f"uneven-zones-spill-{threshold_ms}",
+        mix(interactive(0.6)),
+        vm_weights=UNEVEN_ZONES,
+        service={"spill_threshold_ms": threshold_ms},
+    )
+
+
+# Other ways of deciding that settings and tickets can choose, for the pages in
+# docs/decisions.
+VARIANTS = {
+    scenario.name: scenario
+    for scenario in (
+        variant(
+            "failing-upstream-no-guard",
+            "failing-upstream",
+            service={"guard": GuardSettings(enabled=False)},
+        ),
+        variant(
+            "beside-batch-alike", "beside-batch", service={"classes": CLASSES_ALIKE}
+        ),
+        variant("cancellations-all", "cancellations", settings={"cancel_min_ms": 0}),
+        variant(
+            "cancellations-none", "cancellations", settings={"cancel_min_ms": 60_000}
+        ),
+        variant(
+            "refusing-upstream-no-budget",
+            "refusing-upstream",
+            service={"retry_percent": 0},
+        ),
+        spill_variant(0),
+        spill_variant(50),
+        spill_variant(200),
+        spill_variant(NEVER_MS),
+    )
+}
