--- a/packages/testing/carobramp_testing/bench/overhead.py
+++ b/packages/testing/carobramp_testing/bench/overhead.py
@@ -1,12 +1,7 @@
 """Added time, CPU per task start, and memory.
 
-<<<<<<< HEAD
 Added time is the median response through the daemon less that of direct requests to
 a stand-in. The daemon and a bare forwarding loop send the same tasks to the same
-=======
-Added time is the median response through the daemon less that of direct requests
-to a stand-in. The daemon and a bare forwarding loop send the same tasks to the same
->>>>>>> main
 stand-ins in the same run, so that the comparison does not depend on the machine.
 """
 
