--- a/packages/testing/carobramp_testing/bench/run.py
+++ b/packages/testing/carobramp_testing/bench/run.py
@@ -7,7 +7,7 @@
 import time
 
 from carobramp_schema.generated.ticket import TeamChange, TeamState, Ticket
-from carobramp_testing.bench.scenarios import SLOTS, Scenario, Site
+from carobramp_testing.bench.scenarios import SLOTS, Scenario, Site, capacity_of
 from carobramp_testing.builders import first_ticket
 from carobramp_testing.builders.tickets import TEAMS
 from carobramp_testing.exposition import sum_samples
@@ -98,7 +98,7 @@
 
 async def warm_up(deployment, scenario, site, seed):
     """Let the entry VMs learn speeds with the first stream alone."""
-    streams = scenario.streams(site, capacity(scenario, site), 1.0)[:1]
+    streams = scenario.streams(site, capacity_of(scenario, site), 1.0)[:1]
     streams = [
         dataclasses.replace(stream, start_s=0.0, end_s=0.0) for stream in streams
     ]
@@ -106,11 +106,6 @@
     await run_load(plan, vm_urls(deployment), pool_of(scenario, site))
 
 
-def capacity(scenario, site):
-    """Return the milliseconds of work that all slots do in a second."""
-    return sum(scenario.speeds) * len(site.zones) * SLOTS * MS_PER_S
-
-
 def pool_of(scenario, site):
     """Return the idle upstreams for the ideal."""
     speeds = sorted(scenario.speeds)
@@ -128,7 +123,7 @@
 
 async def measure(deployment, scenario, site, policy, seconds, seed):
     """Run the load with the faults and read the metrics before and after."""
-    streams = scenario.streams(site, capacity(scenario, site), seconds)
+    streams = scenario.streams(site, capacity_of(scenario, site), seconds)
     plan = Plan(streams, seconds, seed, scenario.vm_weights)
     before = await scrape(deployment)
     cpu_before, machine_before = cpu_times(deployment), machine_times()
--- a/packages/testing/carobramp_testing/bench/scenarios.py
+++ b/packages/testing/carobramp_testing/bench/scenarios.py
@@ -11,6 +11,7 @@
 from carobramp_testing.load.plan import Stream
 
 SLOTS = 8
+MS_PER_S = 1000
 # Long enough that the machine is not the bottleneck: half of this took 87% of 10 cores
 # beside other work and raised the ratios.
 RUN_MS = (200.0, 800.0)
@@ -89,6 +90,11 @@
     settings: Mapping = dataclasses.field(default_factory=dict)
 
 
+def capacity_of(scenario: Scenario, site: Site):
+    """Return the milliseconds of work that all slots do in a second."""
+    return sum(scenario.speeds) * len(site.zones) * SLOTS * MS_PER_S
+
+
 def interactive(part, name="", **fields):
     """Return a function that gives a stream with a part of the capacity."""
 
