Drop stale entries of finished jobs from the heaps of dispatch

Cause: deadlines and ages of finished jobs left their heaps only at the top; with deadlines of ten minutes, or one old waiting job, memory grew by an entry with the job's results for each job. Change: the heaps are compacted when they are twice as large as what they need; a task is a straggler from 50 ms on at the earliest; connections also bound the room at upstreams of other zones.

--- a/packages/core/carobramp_core/dispatch/engine.py
+++ b/packages/core/carobramp_core/dispatch/engine.py
@@ -45,6 +45,9 @@
 REFRESH_WAITING_S = 0.1
 REFRESH_RUNNING_S = 0.5
 FAR_REFRESH_S = 0.5
+STALE_DEADLINES = 1000
+# Jitter of network and event loop does not make a short task a straggler.
+STRAGGLER_MIN_S = 0.05
 MS_PER_S = 1000
 
 
@@ -116,11 +119,18 @@
         """Renew what changes with time: estimates, stragglers, quota parts."""
         elapsed = now - self.refreshed_at
         self.refreshed_at = now
+        if len(self.deadlines) > 2 * len(self.jobs) + STALE_DEADLINES:
+            self.drop_stale_deadlines()
         for pool in self.pools.values():
             self.refresh_pool(pool, now, elapsed)
         for use in self.quotas.teams.values():
             self.release(use)
 
+    def drop_stale_deadlines(self):
+        """Forget the deadlines of finished jobs; they may lie ten minutes ahead."""
+        self.deadlines = [entry for entry in self.deadlines if entry[1] in self.jobs]
+        heapq.heapify(self.deadlines)
+
     def refresh_pool(self, pool: ServicePool, now, elapsed):
         """Renew the estimates of one service."""
         far_due = now - pool.far_refreshed_at >= FAR_REFRESH_S
@@ -223,7 +233,7 @@
             started=now,
             expected_s=expected_s,
             timeout=job.job.deadline - now,
-            straggler_s=expected_s * runtimes.straggler_factor(),
+            straggler_s=max(STRAGGLER_MIN_S, expected_s * runtimes.straggler_factor()),
             team=job.team,
             runtimes=runtimes,
             declared_ms=job.job.run_ms[task_id.index],
--- a/packages/core/carobramp_core/dispatch/queue.py
+++ b/packages/core/carobramp_core/dispatch/queue.py
@@ -17,12 +17,14 @@
 from carobramp_core.dispatch.jobs import JobState
 
 SEQUENCE = itertools.count()
+# Entries from which a heap is cleared of jobs without waiting tasks.
+COMPACT_FROM = 64
 
 
 class TeamQueue:
     """Waiting jobs of one team in one class."""
 
-    __slots__ = ("use", "jobs", "ages", "finish_tag", "active")
+    __slots__ = ("use", "jobs", "ages", "finish_tag", "active", "compact_at")
 
     def __init__(self, use):
         self.use = use
@@ -30,6 +32,30 @@
         self.ages: list[tuple[float, int, JobState]] = []
         self.finish_tag = 0.0
         self.active = False
+        self.compact_at = COMPACT_FROM
+
+    def add(self, job: JobState):
+        """Put a job with waiting tasks into the heaps."""
+        job.queued = True
+        key = job.job.received + job.waiting_ms / 1000 / job.rate
+        heapq.heappush(self.jobs, (key, next(SEQUENCE), job))
+        heapq.heappush(self.ages, (job.job.received, next(SEQUENCE), job))
+        if len(self.jobs) + len(self.ages) >= self.compact_at:
+            self.compact()
+
+    def compact(self):
+        """Drop jobs without waiting tasks.
+
+        The heaps drop them only at their top, where one old job may stay for long.
+        """
+        for _, _, job in self.jobs:
+            job.queued = bool(job.waiting)
+        self.jobs = [entry for entry in self.jobs if entry[2].waiting]
+        self.ages = [entry for entry in self.ages if entry[2].waiting]
+        heapq.heapify(self.jobs)
+        heapq.heapify(self.ages)
+        size = len(self.jobs) + len(self.ages)
+        self.compact_at = max(COMPACT_FROM, 2 * size)
 
     def oldest(self):
         """Return the receipt time of the oldest waiting job; infinite if none."""
@@ -77,11 +103,7 @@
         """Put a job with waiting tasks into the order."""
         team = self.teams[job.team.name]
         if not job.queued:
-            job.queued = True
-            key = job.job.received + job.waiting_ms / 1000 / job.rate
-            heapq.heappush(team.jobs, (key, next(SEQUENCE), job))
-            age = (job.job.received, next(SEQUENCE), job)
-            heapq.heappush(team.ages, age)
+            team.add(job)
         self.activate(team)
 
     def put_back(self, job: JobState, index):
--- a/packages/core/carobramp_core/dispatch/tests/test_engine.py
+++ b/packages/core/carobramp_core/dispatch/tests/test_engine.py
@@ -200,6 +200,29 @@
         self.assertEqual(outcome.reason, Reason.UNKNOWN_SERVICE)
 
 
+class MemoryTests(unittest.TestCase):
+    """Finished jobs leave nothing behind."""
+
+    def test_finished_jobs_are_forgotten(self):
+        """Guards against memory that grows with deadlines far ahead."""
+        driver = Driver(upstreams={"up-0": upstream_state(slots=2)})
+        driver.submit("long", run_ms=1, deadline=600)
+        driver.submit("batch", tasks=9, priority_class="batch", deadline=600)
+        pending = driver.starts()
+        for number in range(5000):
+            driver.submit(f"job-{number}", run_ms=1, deadline=600)
+            pending += driver.starts()
+            driver.now += 0.002
+            driver.answer(pending.pop())
+            pending += driver.starts()
+        dispatcher = driver.dispatcher
+        self.assertLess(len(dispatcher.jobs), 20)
+        self.assertLess(len(dispatcher.deadlines), 2000)
+        for queue in dispatcher.pools["desk"].queue.classes.values():
+            for team in queue.teams.values():
+                self.assertLess(len(team.ages) + len(team.jobs), 200)
+
+
 class StatusTests(unittest.TestCase):
     """Views for heartbeats and status."""
 
--- a/packages/core/carobramp_core/dispatch/upstreams.py
+++ b/packages/core/carobramp_core/dispatch/upstreams.py
@@ -158,7 +158,8 @@
             return min(max(free, share), self.state.connections)
         if now - self.reported_at > REPORT_FRESH_S:
             return min(free, self.share)
-        return free - max(1, int(slots * FAR_HEADROOM))
+        free -= max(1, int(slots * FAR_HEADROOM))
+        return min(free, self.state.connections)
 
     def room(self, now, total, reserve=0):
         """Return how many more tasks may be started here."""
