Answer ids that are not text with a refusal

An Idempotency-Key with bytes that are no UTF-8 came back in the problem details, could not be encoded and ended in status 500. A test also sent a signal to a process that had just ended.

--- a/packages/daemon/carobramp_daemon/problems.py
+++ b/packages/daemon/carobramp_daemon/problems.py
@@ -64,16 +64,28 @@
         type=PROBLEM_TYPE + reason.value,
         title=reason.value.replace("_", " "),
         status=status or STATUS[reason],
-        detail=detail,
+        detail=encodable(detail),
         reason=reason.value,
         not_run=not_run,
-        submission_id=submission_id,
-        field_=invalid.field,
+        submission_id=encodable(submission_id),
+        field_=encodable(invalid.field),
         expected=invalid.expected,
-        seen=invalid.seen,
+        seen=encodable(invalid.seen),
     )
 
 
+def encodable(text):
+    """Return text that can be encoded; header bytes that are no UTF-8 are escaped.
+
+    Examples
+    ========
+
+    >>> encodable("a\\udcff")
+    'a\\\\udcff'
+    """
+    return text.encode(errors="backslashreplace").decode()
+
+
 def problem_response(details: Problem, retry_after=0.0):
     """Return problem details as an HTTP response."""
     headers = {}
--- a/packages/testing/carobramp_testing/processes.py
+++ b/packages/testing/carobramp_testing/processes.py
@@ -1,6 +1,7 @@
 """Starts the processes of a small deployment on loopback and ends them by id."""
 
 import asyncio
+import contextlib
 import os
 import signal
 import sys
@@ -73,7 +74,9 @@
     def signal(self, number):
         """Send a signal to the process, if it still runs."""
         if self.child is not None and self.child.returncode is None:
-            os.kill(self.child.pid, number)
+            # The child may have been reaped before its status is set here.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.child.pid, number)
 
     async def wait(self, timeout=STOP_TIMEOUT_S):
         """Wait for the end of the process and return its status."""
