Deliver held data late in chaos runs; stop an owner of forwarded jobs

Cause: cut links only dropped data. A request or a table write that arrives after its sender gave up is the harder case for at most once.

Change: kinds hold_zones, hold_platform and hold_upstreams; a test that a planned stop finishes jobs forwarded by other entry VMs.

--- a/packages/testing/carobramp_testing/chaos/injector.py
+++ b/packages/testing/carobramp_testing/chaos/injector.py
@@ -66,6 +66,7 @@
         if fault.kind == "cancel_wave":
             await self.cancel_wave()
             return
+        scope = KINDS[fault.kind].scope
         if fault.kind in PLATFORM_FAULTS:
             faults = PLATFORM_FAULTS[fault.kind]
             active = self.stand_in_fault(self.deployment.platform_url, faults)
@@ -73,10 +74,13 @@
             zone, index = fault.target.split("/")
             url = self.deployment.upstream_urls(zone)[int(index)]
             active = self.stand_in_fault(url, UPSTREAM_FAULTS[fault.kind])
+        elif fault.kind.startswith("cut_"):
+            active = self.cut(self.relays(scope, fault.target))
+        elif fault.kind.startswith("hold_"):
+            active = self.hold(self.relays(scope, fault.target))
         else:
             active = getattr(self, fault.kind)(fault.target)
         # A restart can outlast its fault, so that the next one has to wait.
-        scope = KINDS[fault.kind].scope
         async with self.locks[scope, fault.target], active:
             await asyncio.sleep(fault.seconds)
 
@@ -132,27 +136,32 @@
         yield
         await self.deployment.start_vm(vm)
 
-    @contextlib.asynccontextmanager
-    async def cut_zones(self, pair):
-        """Cut two zones off from each other."""
-        zones = pair.split("+")
-        self.deployment.cut(*zones)
-        yield
-        self.deployment.mend(*zones)
+    def relays(self, scope, target):
+        """Return the relays of a link."""
+        links = self.deployment.links
+        if scope == "zones":
+            return links.between(*target.split("+"))
+        if scope == "zone_platform":
+            return [links.platform[target]]
+        return links.upstreams[target]
 
     @contextlib.asynccontextmanager
-    async def cut_platform(self, zone):
-        """Cut a zone off from the platform."""
-        self.deployment.cut_platform(zone)
+    async def cut(self, relays):
+        """Cut a link and drop what was under way."""
+        for relay in relays:
+            relay.cut()
         yield
-        self.deployment.mend_platform(zone)
+        for relay in relays:
+            relay.mend()
 
     @contextlib.asynccontextmanager
-    async def cut_upstreams(self, zone):
-        """Cut the upstreams of a zone off."""
-        self.deployment.cut_upstreams(zone)
+    async def hold(self, relays):
+        """Hold the data of a link and deliver it late."""
+        for relay in relays:
+            relay.cut()
         yield
-        self.deployment.mend_upstreams(zone)
+        for relay in relays:
+            relay.deliver()
 
     @contextlib.asynccontextmanager
     async def kill_upstreams(self, zone):
--- a/packages/testing/carobramp_testing/tests/case.py
+++ b/packages/testing/carobramp_testing/tests/case.py
@@ -50,6 +50,15 @@
         tasks = (await self.deployment.get_json(f"{url}/records"))["starts"]
         return {task_id.rpartition(":")[0] for task_id in tasks}
 
+    def some_started(self, keys):
+        """Return a condition: tasks of at least one of the submissions started."""
+
+        async def condition():
+            starts = await self.deployment.starts()
+            return keys & {task_id.rpartition(":")[0] for task_id in starts}
+
+        return condition
+
 
 def reason_of(attempt):
     """Return the reason of a failure, ``lost``, or an empty string for an answer."""
--- a/packages/testing/carobramp_testing/tests/test_stops.py
+++ b/packages/testing/carobramp_testing/tests/test_stops.py
@@ -5,7 +5,7 @@
 import signal
 import unittest
 
-from carobramp_testing.processes import ZONES, wait_for
+from carobramp_testing.processes import HTTP_OK, ZONES, wait_for
 from carobramp_testing.tests.case import FaultCase
 
 NOTICE_MS = 500
@@ -88,6 +88,28 @@
         self.assertLessEqual(self.reasons(sent), {"", "draining", "not_ready"})
         await self.assert_sound()
 
+    async def test_forwarded_jobs(self):
+        """Guards against a planned stop that cuts off jobs from other entry VMs."""
+        leaving, staying = await self.deploy_two()
+
+        async def forwarded():
+            key = await self.deployment.new_id(leaving)
+            return (await self.callers.submit(staying, key=key)).status == HTTP_OK
+
+        # Each VM learns the address of the other from the membership list.
+        await wait_for(forwarded)
+        keys = [await self.deployment.new_id(leaving) for _ in range(BURST // 4)]
+        request = self.callers.request(run_ms=1000)
+        jobs = [
+            asyncio.create_task(self.callers.submit(staying, request, key))
+            for key in keys
+        ]
+        await wait_for(self.some_started(set(keys)))
+        self.deployment.terminate(leaving)
+        self.assert_whole(await asyncio.gather(*jobs))
+        self.assertEqual(await self.deployment.vms[leaving].wait(), 0)
+        await self.assert_sound()
+
 
 class CancellationTests(FaultCase):
     """Waves of cancellations end jobs clearly and free the slots."""
@@ -121,15 +143,6 @@
         self.assertTrue(stopped)
         await self.assert_sound()
 
-    def some_started(self, keys):
-        """Return a condition: tasks of at least one of the submissions started."""
-
-        async def condition():
-            starts = await self.deployment.starts()
-            return keys & {task_id.rpartition(":")[0] for task_id in starts}
-
-        return condition
-
     async def cancel(self, vm, key):
         """Cancel a job, twice, as an impatient caller does."""
         url = f"{self.deployment.url(vm)}/v1/jobs/{key}"
--- a/packages/testing/carobramp_testing/tests/test_submission.py
+++ b/packages/testing/carobramp_testing/tests/test_submission.py
@@ -222,7 +222,9 @@
         """Guards against a cancellation that does not reach the owner."""
         for kind, key in (await self.keys(FIRST)).items():
             with self.subTest(kind):
-                job = self.submit(FIRST, key, run_ms=LONG_MS, deadline_ms=LONG_DEADLINE_MS)
+                job = self.submit(
+                    FIRST, key, run_ms=LONG_MS, deadline_ms=LONG_DEADLINE_MS
+                )
                 await self.wait_started(key)
                 url = f"{self.deployment.url(SECOND)}/v1/jobs/{key}"
                 async with self.deployment.session.delete(url) as response:
