Check leaving upstreams in chaos runs

Change: the starts name their upstream and the time of the request; a chaos run checks that no request reaches an upstream later than the grace period after its ticket was in force at every process, and reports for how long this was checked.

--- a/packages/testing/carobramp_testing/chaos/operators.py
+++ b/packages/testing/carobramp_testing/chaos/operators.py
@@ -15,12 +15,15 @@
     UpstreamChange,
 )
 from carobramp_testing.builders.tickets import QUOTA_SLOTS
+from carobramp_testing.chaos.leaving import Leaving
 
 PAUSE_S = 0.7
 RETRY_PAUSE_S = 0.3
 POLL_S = 0.25
 CALL_TIMEOUT_S = 3.0
 RIVAL_PERCENT = 20
+# Tickets about something else, so that upstreams stay away longer than the grace.
+REWEIGH_PERCENT = 60
 TEAM = "festival"
 TAKEN = "ticket_number_taken"
 ACCEPTED = "accepted"
@@ -38,7 +41,9 @@
         first = deployment.first_ticket()
         self.upstreams = {change.name: change.state for change in first.upstreams}
         self.based_on = dict.fromkeys([*self.upstreams, TEAM], 1)
-        self.leaving: set[str] = set()
+        self.leaving: dict[str, int] = {}
+        self.begun: dict[int, float] = {}
+        self.ended: list[Leaving] = []
         self.accepted: dict[int, list[Ticket]] = {1: [first]}
         self.answers: collections.Counter[str] = collections.Counter()
 
@@ -52,8 +57,11 @@
         """Put the next ticket, sometimes two with the same number at once."""
         number = max(self.accepted) + 1
         tickets = [self.toggle(number)]
+        if self.rng.random() * 100 < REWEIGH_PERCENT:
+            tickets = [self.reweigh(number)]
         if self.rng.random() * 100 < RIVAL_PERCENT:
             tickets.append(self.reweigh(number))
+        self.begun[number] = time.time()
         answers = await asyncio.gather(*(self.put(ticket) for ticket in tickets))
         for ticket, answer in zip(tickets, answers, strict=True):
             self.answers[answer] += 1
@@ -62,12 +70,11 @@
                 self.take(ticket)
 
     def toggle(self, number):
-        """Build a ticket that lets one upstream leave, or return."""
+        """Build a ticket that lets one upstream leave, or the first one return."""
         spare = len(self.leaving) < len(self.upstreams) // 2
-        names = list(self.upstreams) if spare else sorted(self.leaving)
-        name = self.rng.choice(names)
-        leaving = name not in self.leaving
-        state = msgspec.structs.replace(self.upstreams[name], leaving=leaving)
+        staying = [name for name in self.upstreams if name not in self.leaving]
+        name = self.rng.choice(staying) if spare else next(iter(self.leaving))
+        state = msgspec.structs.replace(self.upstreams[name], leaving=spare)
         change = UpstreamChange(name, self.based_on[name], state)
         return Ticket(number=number, author="operator", upstreams=[change])
 
@@ -83,8 +90,18 @@
             self.based_on[change.name] = ticket.number
         for change in ticket.upstreams:
             self.based_on[change.name] = ticket.number
-            edit = self.leaving.add if change.state.leaving else self.leaving.discard
-            edit(change.name)
+            if change.state.leaving:
+                self.leaving[change.name] = ticket.number
+            else:
+                since = self.leaving.pop(change.name)
+                end = self.begun[ticket.number]
+                self.ended.append(Leaving(change.name, since, end))
+
+    def leavings(self):
+        """Return every time that an upstream was leaving, up to now."""
+        now = time.time()
+        present = (Leaving(n, since, now) for n, since in self.leaving.items())
+        return [*self.ended, *present]
 
     async def put(self, ticket):
         """Put a ticket until it is accepted or its number is taken."""
@@ -116,7 +133,7 @@
 
     def __init__(self, deployment):
         self.deployment = deployment
-        self.samples: dict[tuple[str, int], list[int]] = collections.defaultdict(list)
+        self.samples: dict[tuple[str, int], list] = collections.defaultdict(list)
 
     async def run(self, stop):
         """Poll until the event `stop` is set."""
@@ -134,7 +151,7 @@
         except (aiohttp.ClientError, TimeoutError, ValueError):
             return None
         if pid == self.deployment.vms[vm].child.pid:
-            self.samples[vm, pid].append(number)
+            self.samples[vm, pid].append((time.time(), number))
         return number
 
     async def converge(self, number, seconds):
@@ -155,7 +172,8 @@
     Examples
     ========
 
-    >>> decreases({("tilburg-0", 1): [0, 1, 1, 2], ("tilburg-1", 2): [3, 2]})
-    [('tilburg-1', 2)]
+    >>> decreases({("a", 1): [(0.1, 1), (0.2, 2)], ("b", 2): [(0.1, 3), (0.2, 2)]})
+    [('b', 2)]
     """
-    return [key for key, numbers in samples.items() if numbers != sorted(numbers)]
+    numbers = {key: [number for _, number in taken] for key, taken in samples.items()}
+    return [key for key, seen in numbers.items() if seen != sorted(seen)]
--- a/packages/testing/carobramp_testing/chaos/run.py
+++ b/packages/testing/carobramp_testing/chaos/run.py
@@ -10,8 +10,14 @@
 from carobramp_testing.callers import Callers
 from carobramp_testing.chaos.callers import ChaosCallers
 from carobramp_testing.chaos.injector import Injector
-from carobramp_testing.chaos.operators import NumberWatch, Operators, decreases
-from carobramp_testing.chaos.schedule import Topology, schedule
+from carobramp_testing.chaos.leaving import Start, check_leaving
+from carobramp_testing.chaos.operators import (
+    CALL_TIMEOUT_S,
+    NumberWatch,
+    Operators,
+    decreases,
+)
+from carobramp_testing.chaos.schedule import KINDS, Topology, schedule
 from carobramp_testing.checker import HTTP_OK, Violation, check
 from carobramp_testing.processes import ZONES, Deployment, wait_for
 
@@ -19,6 +25,8 @@
 SPEEDS = (1.0, 0.7)
 IN_FORCE_S = 16.0
 DRAIN_NOTICE_MS = 300
+# The grace period, and the longest time that a link holds a request on its way.
+LEAVING_ALLOWED_S = 3.0 + KINDS["hold_upstreams"].longest + 0.5
 CALM_JOBS = 24
 CALM_TIMEOUT_S = 90.0
 
@@ -38,6 +46,7 @@
     faults: dict[str, int]
     reasons: dict[str, int]
     tickets: dict[str, int]
+    leaving_checked_s: float
     calm_after_s: float
     violations: tuple[Violation, ...]
 
@@ -67,6 +76,7 @@
         self.operators = Operators(deployment, seed)
         self.watch = NumberWatch(deployment)
         self.starts = 0
+        self.leaving_checked_s = 0.0
         self.violations: list[Violation] = []
 
     async def run(self) -> Report:
@@ -86,6 +96,7 @@
             await self.check_tickets(operators)
             watching.set()
         await self.check_callers()
+        self.check_leaving()
         return self.report(calm_after_s)
 
     async def wait_calm(self):
@@ -119,7 +130,8 @@
             detail = f"has ticket {seen}, not {number}, after {IN_FORCE_S} s"
             self.violations.append(Violation("in_force", vm, detail))
         for vm, pid in decreases(self.watch.samples):
-            detail = f"process {pid}: {self.watch.samples[vm, pid]}"
+            numbers = [number for _, number in self.watch.samples[vm, pid]]
+            detail = f"process {pid}: {numbers}"
             self.violations.append(Violation("never_reverts", vm, detail))
         for detail in self.operators.violations():
             self.violations.append(Violation("one_ticket", "operators", detail))
@@ -132,6 +144,22 @@
         for detail in self.injector.bad_stops:
             self.violations.append(Violation("planned_stop", "VM", detail))
 
+    def check_leaving(self):
+        """Check that upstreams that tickets let leave got no new work."""
+        names = [(zone, n) for zone in ZONES for n in range(len(SPEEDS))]
+        starts = [
+            Start(task_id, f"up-{names.index((zone, index)):02d}", received_at)
+            for zone, task_id, index, received_at, _ in self.deployment.start_lines()
+        ]
+        violations, self.leaving_checked_s = check_leaving(
+            self.operators.leavings(),
+            starts,
+            self.watch.samples,
+            LEAVING_ALLOWED_S,
+            CALL_TIMEOUT_S,
+        )
+        self.violations += violations
+
     def report(self, calm_after_s):
         """Return the report."""
         attempts = self.callers.attempts
@@ -148,6 +176,7 @@
             faults=dict(self.injector.injected),
             reasons=dict(reasons),
             tickets=dict(self.operators.answers),
+            leaving_checked_s=round(self.leaving_checked_s, 1),
             calm_after_s=calm_after_s,
             violations=tuple(self.violations),
         )
--- a/packages/testing/carobramp_testing/processes.py
+++ b/packages/testing/carobramp_testing/processes.py
@@ -1,6 +1,7 @@
 """Starts the processes of a small deployment on loopback and ends them by id."""
 
 import asyncio
+import collections
 import os
 import signal
 import sys
@@ -307,18 +308,20 @@
         """Path of the file to which a zone's upstreams write each start."""
         return os.path.join(self.folder, f"starts-{zone}.log")
 
-    async def starts(self):
-        """Return the number of starts of each task, over all upstreams.
+    def start_lines(self):
+        """Yield zone, task id, index, request and start time of each start.
 
         The files hold the starts of upstreams that have ended, too.
         """
-        starts: dict[str, int] = {}
         for zone in self.zones:
-            with open(self.starts_path(zone)) as file:  # noqa: ASYNC230
+            with open(self.starts_path(zone)) as file:
                 for line in file:
-                    task_id = line.split()[0]
-                    starts[task_id] = starts.get(task_id, 0) + 1
-        return starts
+                    task_id, index, received_at, started_at = line.split()
+                    yield zone, task_id, int(index), float(received_at), started_at
+
+    async def starts(self):
+        """Return the number of starts of each task, over all upstreams."""
+        return dict(collections.Counter(line[1] for line in self.start_lines()))
 
     async def records(self, zone=None):
         """Return what the running upstreams know of each task, by upstream URL."""
--- a/packages/testing/carobramp_testing/standins/upstream.py
+++ b/packages/testing/carobramp_testing/standins/upstream.py
@@ -11,6 +11,7 @@
 import asyncio
 import collections
 import dataclasses
+import functools
 import os
 import time
 
@@ -73,7 +74,8 @@
 class UpstreamStandIn:
     """Runs tasks in slots, in order of arrival.
 
-    `log_starts` is called with the id of each task before the task runs.
+    `log_starts` is called with the id of each task and the time of its request
+    before the task runs.
     """
 
     def __init__(self, slots, speed, log_starts=None):
@@ -140,7 +142,7 @@
             task.starts += 1
             task.started_at = time.time()
             if self.log_starts is not None:
-                self.log_starts(task_id)
+                self.log_starts(task_id, task.last_request_at)
             if self.faults.fail:
                 return {"status": "failed", "error": "fails everything"}
             outcome = await self.work(task_id, body["payload"])
@@ -227,18 +229,26 @@
 
 
 def start_log(path):
-    """Return a function that appends task ids to the file at `path`."""
+    """Return a function that appends starts to the file at `path`.
+
+    A line has the task id, the index of the upstream and the times of the request
+    and the start.
+    """
     file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
 
-    def append(task_id):
-        os.write(file, f"{task_id} {time.time():.6f}\n".encode())
+    def append(index, task_id, received_at):
+        line = f"{task_id} {index} {received_at:.6f} {time.time():.6f}\n"
+        os.write(file, line.encode())
 
     return append
 
 
 async def serve_upstreams(host, slots, speeds, ports, log_starts):
     """Serve one stand-in for each speed, each on a port of its own."""
-    apps = [UpstreamStandIn(slots, s, log_starts).application() for s in speeds]
+    apps = []
+    for index, speed in enumerate(speeds):
+        log = functools.partial(log_starts, index) if log_starts else None
+        apps.append(UpstreamStandIn(slots, speed, log).application())
     await serve(apps, host, ports)
 
 
--- a/packages/testing/carobramp_testing/tests/test_chaos.py
+++ b/packages/testing/carobramp_testing/tests/test_chaos.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from carobramp_testing.chaos import Topology, run_chaos, schedule
+from carobramp_testing.chaos.leaving import Leaving, Start, check_leaving
 from carobramp_testing.chaos.schedule import KINDS, MEAN_GAP_S
 from carobramp_testing.processes import ZONES
 
@@ -40,6 +41,29 @@
         self.assertEqual({fault.kind for fault in faults}, set(KINDS))
 
 
+class LeavingTests(unittest.TestCase):
+    """Work for a leaving upstream is found."""
+
+    def check(self, received_at, upstream="up-00"):
+        """Return violations and checked time for one start."""
+        leavings = [Leaving("up-00", 2, returned_at=20.0)]
+        samples = {("a", 1): [(1.0, 1), (2.0, 2)], ("b", 2): [(1.0, 1), (4.0, 2)]}
+        starts = [Start("a:0", upstream, received_at)]
+        return check_leaving(leavings, starts, samples, allowed_s=3.0, unseen_s=1.0)
+
+    def test_late_work(self):
+        """Guards against work for a leaving upstream that goes unseen."""
+        violations, checked_s = self.check(received_at=7.5)
+        self.assertEqual([v.subject for v in violations], ["up-00"])
+        self.assertEqual(checked_s, 13.0)
+
+    def test_allowed_work(self):
+        """Guards against false alarms."""
+        self.assertEqual(self.check(6.9)[0], [])
+        self.assertEqual(self.check(20.5)[0], [])
+        self.assertEqual(self.check(7.5, "up-01")[0], [])
+
+
 class ShortRunTests(unittest.IsolatedAsyncioTestCase):
     """All kinds of failures together, for a short time."""
 
