Let the stand-in upstream run one task id twice at once

Cause: the overhead benchmark sends the same task id to a stand-in many times at once, and the stand-in answered 500 because the entry for cancellation was already gone.

Change: the entry is removed if it is there.

Conclusion: records of starts are unchanged; a doubled start is still counted.

--- a/packages/testing/carobramp_testing/standins/upstream.py
+++ b/packages/testing/carobramp_testing/standins/upstream.py
@@ -164,7 +164,7 @@
         except TimeoutError:
             pass
         finally:
-            del self.cancels[task_id]
+            self.cancels.pop(task_id, None)
         if payload.get("fail"):
             return {"status": "failed", "error": "the payload asks for it"}
         elapsed = (time.monotonic() - started) * 1000
