Keep counts in dictionaries that the instruments read at a scrape

Cause: a profile of the daemon under jobs of one task showed 7 measurements per job in OpenTelemetry's synchronous instruments, 1.27 s of 15.4 s of CPU time.

Ruled out: fewer counters; each refusal, retry and wasted message has to count.

Change: counters and gauges are observable instruments; their callbacks read dictionaries that the services write. Histograms stay synchronous. DispatchService.wait no longer hides mode's Service.wait.

--- a/packages/daemon/carobramp_daemon/dispatch.py
+++ b/packages/daemon/carobramp_daemon/dispatch.py
@@ -57,7 +57,7 @@
     async def handle_events(self):
         """Handle events and wake-ups until the service stops."""
         while not self.should_stop:
-            await self.wait()
+            await self.wait_for_event()
             for _ in range(EVENTS_PER_TURN):
                 if not self.inbox:
                     break
@@ -72,7 +72,7 @@
         if isinstance(event, StateInForce):
             self.upstreams.keep_only(event.state.upstreams)
 
-    async def wait(self):
+    async def wait_for_event(self):
         """Wait for an event; put a `Tick` into the inbox when a wake-up is due."""
         if self.inbox:
             return
--- a/packages/daemon/carobramp_daemon/metrics.py
+++ b/packages/daemon/carobramp_daemon/metrics.py
@@ -1,7 +1,10 @@
 """OpenTelemetry metrics and their text exposition."""
 
+import collections
+import functools
 import itertools
 
+from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 
@@ -45,24 +48,35 @@
 
 
 class Metrics:
-    """Meters of one daemon; every name is declared in this module."""
+    """Meters of one daemon; every name is declared in this module.
+
+    Counts and levels are kept in dictionaries and read by the instruments'
+    callbacks at a scrape: a call of `Counter.add` for each message took about a
+    tenth of the daemon's CPU time per job.
+    """
 
     def __init__(self):
         self.reader = InMemoryMetricReader()
         provider = MeterProvider(metric_readers=[self.reader], shutdown_on_exit=False)
         meter = provider.get_meter("carobramp")
-        self.counters = {n: meter.create_counter(n, "", d) for n, d in COUNTERS.items()}
+        self.totals = {name: collections.Counter() for name in COUNTERS}
+        self.levels: dict[str, float] = {}
+        for name, description in COUNTERS.items():
+            read = functools.partial(_read_totals, self.totals[name])
+            meter.create_observable_counter(name, [read], "", description)
         self.histograms = {
             n: meter.create_histogram(n, "ms", d) for n, d in HISTOGRAMS.items()
         }
-        self.gauges = {n: meter.create_gauge(n, "", d) for n, d in GAUGES.items()}
+        for name, description in GAUGES.items():
+            read = functools.partial(_read_level, self.levels, name)
+            meter.create_observable_gauge(name, [read], "", description)
         for counter, kinds in KNOWN_KINDS.items():
             for kind in kinds:
                 self.count(counter, kind, 0)
 
     def count(self, counter, kind, amount=1):
         """Add to a counter."""
-        self.counters[counter].add(amount, {KIND: str(kind)})
+        self.totals[counter][str(kind)] += amount
 
     def observe(self, histogram, kind, value):
         """Record a value in milliseconds."""
@@ -70,7 +84,7 @@
 
     def set(self, gauge, value):
         """Set a gauge."""
-        self.gauges[gauge].set(value)
+        self.levels[gauge] = value
 
     def exposition(self):
         """Return all values in the text exposition format."""
@@ -89,6 +103,14 @@
 EXPOSED = {"counter": COUNTERS, "histogram": HISTOGRAMS, "gauge": GAUGES}
 
 
+def _read_totals(totals, options):
+    return [Observation(value, {KIND: kind}) for kind, value in totals.items()]
+
+
+def _read_level(levels, name, options):
+    return [Observation(levels[name])] if name in levels else []
+
+
 def _points_by_name(data):
     if data is None:
         return {}
--- a/packages/daemon/carobramp_daemon/tests/test_daemon.py
+++ b/packages/daemon/carobramp_daemon/tests/test_daemon.py
@@ -33,7 +33,7 @@
         """Guards against a VM that seems ready while its dispatcher is gone."""
         fault = ValueError("broken invariant")
         with (
-            mock.patch.object(DispatchService, "wait", side_effect=fault),
+            mock.patch.object(DispatchService, "wait_for_event", side_effect=fault),
             self.assertLogs(level="ERROR"),
         ):
             failure = await self.run_to_end(vm_settings("a", NOWHERE))
