Bound the wait for the body of a request

A caller that announces a body and never sends it held up a drain until drain_max_ms, an hour by default, since the drain waits for requests under way.

--- a/packages/daemon/carobramp_daemon/api.py
+++ b/packages/daemon/carobramp_daemon/api.py
@@ -13,7 +13,7 @@
 from carobramp_daemon.gate import Gate
 from carobramp_daemon.jobs import Submission
 from carobramp_daemon.listener import Listener
-from carobramp_daemon.middleware import ActiveRequests, render_errors
+from carobramp_daemon.middleware import ActiveRequests, read_body, render_errors
 from carobramp_daemon.operator import OperatorApi
 from carobramp_daemon.problems import problem, problem_response
 from carobramp_schema import InvalidInput, decode, encode
@@ -103,7 +103,8 @@
         """Return the checked body and its bytes, or an error response."""
         not_run = SUBMISSION_HEADER not in request.headers
         try:
-            data = await request.read()
+            timeout = self.settings.limits.body_timeout_ms / 1000
+            data = await read_body(request, timeout)
         except web.HTTPRequestEntityTooLarge:
             limit = self.settings.limits.max_body_bytes
             detail = f"the body is over {limit} bytes"
--- a/packages/daemon/carobramp_daemon/middleware.py
+++ b/packages/daemon/carobramp_daemon/middleware.py
@@ -1,5 +1,7 @@
 """Middleware of the HTTP server: counts requests under way, renders errors."""
 
+import asyncio
+
 from aiohttp import web
 
 from carobramp_core.outcomes import Reason
@@ -36,6 +38,24 @@
             self.count -= 1
 
 
+async def read_body(request, timeout):
+    """Return the body of a request.
+
+    A caller that never sends the body that it announced would otherwise hold up
+    the drain, which waits for requests under way.
+
+    Raises
+    ======
+
+    aiohttp.web.HTTPRequestTimeout : it did not arrive within `timeout` seconds
+    """
+    try:
+        async with asyncio.timeout(timeout):
+            return await request.read()
+    except TimeoutError:
+        raise web.HTTPRequestTimeout from None
+
+
 def kind_of(request):
     """Return method and route of a request, or ``unmatched``."""
     resource = request.match_info.route.resource
--- a/packages/daemon/carobramp_daemon/ticket_routes.py
+++ b/packages/daemon/carobramp_daemon/ticket_routes.py
@@ -18,6 +18,7 @@
 from carobramp_core.tickets.checks import Invalid, OutOfDate
 from carobramp_core.tickets.rows import MAX_NUMBER, read_record, ticket_key
 from carobramp_core.tickets.state import KINDS
+from carobramp_daemon.middleware import read_body
 from carobramp_daemon.problems import problem, problem_response
 from carobramp_schema import InvalidInput, decode, encode
 from carobramp_schema.generated.ticket import Ticket
@@ -57,7 +58,8 @@
     async def read_ticket(self, request):
         """Return the checked ticket of a request, or an error response."""
         try:
-            data = await request.read()
+            timeout = self.tickets.settings.limits.body_timeout_ms / 1000
+            data = await read_body(request, timeout)
         except web.HTTPRequestEntityTooLarge as error:
             return self.refuse(Reason.BODY_TOO_LARGE, error.text)
         ticket = decode(data, Ticket)
--- a/packages/testing/carobramp_testing/tests/test_drain.py
+++ b/packages/testing/carobramp_testing/tests/test_drain.py
@@ -17,6 +17,8 @@
 OTHER = "tilburg-1"
 NOTICE_MS = 600
 LONG_MS = 1500
+BODY_TIMEOUT_MS = 500
+ANSWER_TIMEOUT_S = 10
 SENT_EVERY_S = 0.01
 POLL_EVERY_S = 0.05
 TAIL_JOBS = 50
@@ -30,9 +32,9 @@
 class DrainCase(unittest.IsolatedAsyncioTestCase):
     """Starts entry VMs with a notice period."""
 
-    async def start(self, vms_per_zone=1):
+    async def start(self, vms_per_zone=1, **sections):
         """Start a deployment of one zone."""
-        settings = {"drain": {"drain_notice_ms": NOTICE_MS}}
+        settings = {"drain": {"drain_notice_ms": NOTICE_MS}} | sections
         deployment = Deployment(
             vms_per_zone=vms_per_zone, speeds=(1.0, 1.0), settings=settings
         )
@@ -168,6 +170,24 @@
         self.assertEqual(status, HTTP_OK, body)
         self.assertEqual(await process.wait(), 0)
 
+    async def test_body_that_never_comes(self):
+        """Guards against one stalled caller that holds up the stop for an hour."""
+        limits = {"body_timeout_ms": BODY_TIMEOUT_MS}
+        deployment = await self.start(limits=limits)
+        host, port = deployment.vms[VM].addresses[0]
+        for path in ("POST /v1/jobs", "PUT /v1/tickets/2"):
+            reader, writer = await asyncio.open_connection(host, port)
+            self.addCleanup(writer.close)
+            head = f"{path} HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n"
+            writer.write(head.encode())
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                self.assertIn(b" 408 ", await reader.readline())
+        reader, writer = await asyncio.open_connection(host, port)
+        self.addCleanup(writer.close)
+        writer.write(head.encode())
+        deployment.vms[VM].signal(signal.SIGTERM)
+        self.assertEqual(await deployment.vms[VM].wait(), 0)
+
     async def test_sigint(self):
         """Guards against a stop from the terminal that leaves a traceback."""
         deployment = await self.start()
