Bound look-ups of claims for cancellations; hash a body once

Cause: each cancellation of a caller-made id that a VM does not know read the platform's table, so that a burst of them held up claims and tickets. A body was hashed up to three times. Two Idempotency-Key headers were taken as one.

Change: 4 reads at a time and 256 look-ups under way at most; the digest is kept with the submission; two ids are refused as submission_invalid. A test checks that a forward is sent and counted once.

--- a/packages/daemon/carobramp_daemon/api.py
+++ b/packages/daemon/carobramp_daemon/api.py
@@ -144,7 +144,7 @@
         if isinstance(message, web.Response):
             return message
         submission = Submission(
-            key=parse_id(request.headers.get(SUBMISSION_HEADER)),
+            key=parse_id(submission_header(request)),
             request=message,
             body=body,
             received=received,
@@ -186,3 +186,9 @@
     async def show_metrics(self, request):
         """Metrics in the text exposition format."""
         return web.Response(text=self.metrics.exposition())
+
+
+def submission_header(request) -> str | None:
+    """Return the submission id as sent; two of them give no valid id."""
+    values = request.headers.getall(SUBMISSION_HEADER, None)
+    return None if values is None else ", ".join(values)
--- a/packages/daemon/carobramp_daemon/cancels.py
+++ b/packages/daemon/carobramp_daemon/cancels.py
@@ -1,5 +1,7 @@
 """Cancellations by callers: here, or at the owner of the submission."""
 
+import asyncio
+
 from carobramp_core.platform import Unavailable
 from carobramp_core.submission.claims import claim_key
 from carobramp_core.submission.ids import CallerMadeId, IssuedId, parse_id
@@ -9,6 +11,10 @@
 from carobramp_schema.generated.claim import ClaimRow
 
 PURPOSE = "cancel"
+# Cancellations come in bursts. Their look-ups leave most of the platform calls of
+# this VM to claims and tickets, and more than the bound are not looked up.
+MAX_READS = 4
+MAX_LOOKUPS = 256
 
 
 class Canceller:
@@ -26,6 +32,8 @@
         self.submissions = submissions
         self.forwarder = forwarder
         self.platform = platform
+        self.reads = asyncio.Semaphore(MAX_READS)
+        self.lookups = 0
 
     async def cancel(self, text: str) -> CancelResult:
         """Cancel a job."""
@@ -48,7 +56,14 @@
 
     async def find_owner(self, key) -> ForwardTo | Unavailable | None:
         """Return the owner that the claim row names."""
-        rows = await self.platform.read((claim_key(key),), PURPOSE)
+        if self.lookups >= MAX_LOOKUPS:
+            return Unavailable("too many look-ups of claims", maybe_applied=False)
+        self.lookups += 1
+        try:
+            async with self.reads:
+                rows = await self.platform.read((claim_key(key),), PURPOSE)
+        finally:
+            self.lookups -= 1
         if isinstance(rows, Unavailable):
             return rows
         if not rows:
--- a/packages/daemon/carobramp_daemon/jobs.py
+++ b/packages/daemon/carobramp_daemon/jobs.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import dataclasses
+import functools
+import hashlib
 
 from carobramp_core.submission.ids import CallerMadeId, SubmissionId
 from carobramp_schema.generated.caller import JobRequest
@@ -30,6 +32,11 @@
     deadline: float
     addressed_to: str | None = None
 
+    @functools.cached_property
+    def digest(self) -> bytes:
+        """SHA-256 of the body as it was sent."""
+        return hashlib.sha256(self.body).digest()
+
 
 @dataclasses.dataclass(frozen=True)
 class PendingClaim:
--- a/packages/daemon/carobramp_daemon/submission.py
+++ b/packages/daemon/carobramp_daemon/submission.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import functools
-import hashlib
 import secrets
 import time
 from collections.abc import Callable
@@ -130,7 +129,7 @@
         issued = key if isinstance(key, IssuedId) else None
         received = Received(
             key=key,
-            digest=hashlib.sha256(submission.body).digest(),
+            digest=submission.digest,
             known=self.registry.known(key, now),
             genuine=issued is not None and self.issuer.verify(issued),
             expired=issued is not None and self.registry.used.expired(issued, now),
@@ -151,10 +150,9 @@
     def begin(self, submission: Submission, keep: bool) -> str:
         """Note a job under way and return its name; an id makes it recorded."""
         key = submission.key
-        digest = hashlib.sha256(submission.body).digest()
         if not isinstance(key, IssuedId | CallerMadeId):
             key = self.issuer.new(time.monotonic())
-        self.registry.begin(key, digest, keep, time.monotonic())
+        self.registry.begin(key, submission.digest, keep, time.monotonic())
         self.pending[str(key)] = Pending()
         self.metrics.set("jobs_running", len(self.registry.jobs))
         return str(key)
@@ -244,7 +242,7 @@
             vm=self.issuer.vm,
             incarnation=self.issuer.incarnation,
             nonce=nonce,
-            digest=self.registry.jobs[name].digest.hex(),
+            digest=submission.digest.hex(),
         )
         self.pending[name].claim = PendingClaim(submission.key, submission, nonce)
         key = claim_key(submission.key)
@@ -260,7 +258,7 @@
         decision = decide_claimed(
             event.verdict,
             claim.key,
-            self.registry.jobs[name].digest,
+            claim.submission.digest,
             self.process(),
             self.settings.submission,
             time.time(),
@@ -363,6 +361,6 @@
     name = "" if isinstance(key, NoId) else str(key)
     answer = service.answer(decision, name)
     if decision.record:
-        digest = hashlib.sha256(submission.body).digest()
-        service.registry.refuse(key, digest, answer, time.monotonic())
+        now = time.monotonic()
+        service.registry.refuse(key, submission.digest, answer, now)
     return answer
--- a/packages/testing/carobramp_testing/tests/test_submission.py
+++ b/packages/testing/carobramp_testing/tests/test_submission.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from carobramp_testing.builders import caller_made_id, job_request
+from carobramp_testing.exposition import read_samples
 from carobramp_testing.processes import HTTP_OK, Deployment, wait_for
 
 FIRST, SECOND, THIRD = VMS = ("tilburg-0", "tilburg-1", "tilburg-2")
@@ -142,6 +143,29 @@
                 self.assertEqual(attached[0], HTTP_OK)
                 await self.assert_each_once(key, 1)
 
+    @with_deployment
+    async def test_forward_is_sent_and_counted_once(self):
+        """Guards against a forward that a layer sends again, or that is not counted."""
+        before = await self.forwards()
+        await self.submit(SECOND, await self.deployment.new_id(FIRST))
+        sent, received = [
+            after - count
+            for after, count in zip(await self.forwards(), before, strict=True)
+        ]
+        self.assertEqual(sent, 1)
+        # The request and its reply.
+        self.assertEqual(received, 2)
+
+    async def forwards(self):
+        """Return the forwards that one VM counts as sent and another as messages."""
+        counts = []
+        for vm, name in ((SECOND, "wasted_messages"), (FIRST, "peer_messages")):
+            url = f"{self.deployment.url(vm)}/metrics"
+            async with self.deployment.session.get(url) as response:
+                samples = read_samples(await response.text())
+            counts.append(samples.get(f"carobramp_{name}", {}).get("forward", 0))
+        return counts
+
     @with_deployment
     async def test_other_body(self):
         """Guards against an answer to another body under the same id."""
