--- a/packages/testing/carobramp_testing/tests/test_submission.py
+++ b/packages/testing/carobramp_testing/tests/test_submission.py
@@ -232,6 +232,23 @@
                 self.assertEqual((body["reason"], body["not_run"]), (reason, False))
                 self.assertEqual(await self.starts_of(key), {})
 
+    @with_deployment
+    async def test_two_ids(self):
+        """Guards against one of two ids that is taken for the submission."""
+        keys = [await self.deployment.new_id(FIRST) for _ in range(2)]
+        url = f"{self.deployment.url(FIRST)}/v1/jobs"
+        data = msgspec.json.encode(job_request())
+        headers = [("Idempotency-Key", key) for key in keys]
+        async with self.deployment.session.post(
+            url, data=data, headers=headers
+        ) as response:
+            body = await response.json(content_type=None)
+        self.assertEqual(
+            (body["reason"], body["not_run"]), ("submission_invalid", False)
+        )
+        for key in keys:
+            self.assertEqual(await self.starts_of(key), {})
+
     @with_deployment
     async def test_cancel_at_another_vm(self):
         """Guards against a cancellation that does not reach the owner."""
