--- /dev/null
+++ b/packages/daemon/carobramp_daemon/tests/test_ticket_service.py
@@ -0,0 +1,149 @@
+"""The ticket service without sockets: what comes into force and who is told."""
+
+import random
+import unittest
+
+from carobramp_core.platform import Unavailable
+from carobramp_core.tickets.spread import HeadSeen
+from carobramp_core.tickets.state import DeploymentState, content_digest
+from carobramp_daemon.metrics import Metrics
+from carobramp_daemon.ticket_calls import TicketCalls
+from carobramp_daemon.tickets import TicketService
+from carobramp_schema import convert
+from carobramp_schema.generated import peer_pb2
+from carobramp_schema.generated.settings import Settings
+from carobramp_schema.generated.ticket import (
+    TeamChange,
+    TeamState,
+    Ticket,
+    TicketRecord,
+)
+
+
+class Dispatch:
+    """Remembers what dispatch was told."""
+
+    def __init__(self):
+        self.numbers = []
+
+    def send(self, event):
+        """Take a state."""
+        self.numbers.append(event.state.number)
+
+
+class Membership:
+    """Knows nobody."""
+
+    def address_of(self, vm):
+        """Return no address."""
+        return None
+
+    def live_peers(self, now):
+        """Return no peers."""
+        return []
+
+
+class DownPlatform:
+    """Answers no call."""
+
+    async def read(self, keys, purpose):
+        """Fail."""
+        return Unavailable("down", maybe_applied=False)
+
+
+class Silent:
+    """Log that writes nothing."""
+
+    def info(self, sentence, **fields):
+        """Drop a line."""
+
+
+def chain(count, quota=1):
+    """Build records that follow each other, and the state after them."""
+    state, records = DeploymentState(), []
+    for number in range(1, count + 1):
+        change = TeamChange("bakery", number - 1, TeamState(quota))
+        ticket = Ticket(number, "anna", teams=[change])
+        state = state.apply(ticket)
+        digest = content_digest(ticket)
+        records.append(TicketRecord(ticket, digest, state.digest(), 0))
+    return records, state
+
+
+class TicketServiceTests(unittest.IsolatedAsyncioTestCase):
+    """States only move forward, and dispatch gets the newest one."""
+
+    async def asyncSetUp(self):
+        """Build a service that is not started."""
+        vm = {"name": "vm-1", "region": "r", "availability_zone": "z"}
+        body = {"vm": vm, "platform": {"url": "http://127.0.0.1:1"}}
+        self.dispatch = Dispatch()
+        self.service = TicketService(
+            convert(body, Settings),
+            DownPlatform(),
+            Membership(),
+            None,
+            self.dispatch,
+            random.Random(1),
+            Metrics(),
+            Silent(),
+        )
+
+    async def test_dispatch_gets_the_last_state_of_a_run(self):
+        """Guards against a busy event loop while a VM catches up."""
+        records, state = chain(5)
+        self.assertIsNone(await self.service.apply_all(records))
+        self.assertEqual(self.dispatch.numbers, [5])
+        self.assertEqual(self.service.digest, state.digest())
+
+    async def test_dispatch_is_told_before_a_bad_record(self):
+        """Guards against a state in force that dispatch does not have."""
+        records, _ = chain(3)
+        ticket = chain(4)[0][3].ticket
+        altered = TicketRecord(ticket, content_digest(ticket), "0" * 64, 0)
+        fault = await self.service.apply_all([*records, altered])
+        self.assertTrue(fault.invalid)
+        self.assertEqual(self.service.in_force.number, 3)
+        self.assertEqual(self.dispatch.numbers, [3])
+
+    async def test_older_state_is_not_taken(self):
+        """Guards against a stale snapshot that reverts tickets."""
+        records, _ = chain(3)
+        await self.service.apply_all(records)
+        self.assertIsNotNone(self.service.replace_state(chain(2)[1]))
+        self.assertEqual(self.service.in_force.number, 3)
+        self.assertEqual(self.dispatch.numbers, [3])
+
+    async def test_diverged_state_is_replaced_at_the_same_number(self):
+        """Guards against a wrong state that stays until the next wide gap."""
+        await self.service.apply_all(chain(3, quota=9)[0])
+        right = chain(3)[1]
+        self.assertIsNotNone(self.service.replace_state(right))
+        self.service.observe(HeadSeen(3, right.digest()))
+        self.assertIsNone(self.service.replace_state(right))
+        self.assertEqual(self.service.digest, right.digest())
+
+    async def test_start_without_platform_and_peers(self):
+        """Guards against a VM that serves without a state."""
+        self.assertFalse(self.service.ready)
+        self.assertIsNone(await self.service.poll_head())
+        self.assertEqual(self.service.status()["not_ready_reason"], "no_state")
+
+    async def test_calls_of_peers(self):
+        """Guards against records with some missing, and against empty states."""
+        calls = TicketCalls(self.service)
+        self.assertEqual(await calls.on_fetch_state(peer_pb2.FetchStateRequest()), [])
+        records, state = chain(4)
+        await self.service.apply_all(records)
+        request = peer_pb2.FetchTicketsRequest(after=1, limit=2)
+        reply = await calls.on_fetch_tickets(request)
+        self.assertEqual(len(reply.records), 2)
+        self.service.kept.clear()
+        reply = await calls.on_fetch_tickets(request)
+        self.assertTrue(reply.too_old)
+        chunks = await calls.on_fetch_state(peer_pb2.FetchStateRequest())
+        self.assertEqual({chunk.digest for chunk in chunks}, {state.digest()})
+
+
+if __name__ == "__main__":
+    unittest.main()
