--- a/packages/core/carobramp_core/dispatch/engine.py
+++ b/packages/core/carobramp_core/dispatch/engine.py
@@ -45,6 +45,9 @@
 REFRESH_WAITING_S = 0.1
 REFRESH_RUNNING_S = 0.5
 FAR_REFRESH_S = 0.5
+STALE_DEADLINES = 1000
+# Jitter of network and event loop does not make a short task a straggler.
+STRAGGLER_MIN_S = 0.05
 MS_PER_S = 1000
 
 
@@ -114,22 +117,30 @@
 
     def refresh(self, now):
         """Renew what changes with time: estimates, stragglers, quota parts."""
-        elapsed = min(now - self.refreshed_at, FAR_REFRESH_S)
+        elapsed = now - self.refreshed_at
         self.refreshed_at = now
+        if len(self.deadlines) > 2 * len(self.jobs) + STALE_DEADLINES:
+            self.drop_stale_deadlines()
         for pool in self.pools.values():
             self.refresh_pool(pool, now, elapsed)
         for use in self.quotas.teams.values():
             self.release(use)
 
+    def drop_stale_deadlines(self):
+        """Forget the deadlines of finished jobs; they may lie ten minutes ahead."""
+        self.deadlines = [entry for entry in self.deadlines if entry[1] in self.jobs]
+        heapq.heapify(self.deadlines)
+
     def refresh_pool(self, pool: ServicePool, now, elapsed):
         """Renew the estimates of one service."""
         far_due = now - pool.far_refreshed_at >= FAR_REFRESH_S
         groups = [pool.near, pool.far] if far_due else [pool.near]
+        pool.measure_drain(now, elapsed)
         pool.normalize_speeds()
         for group in groups:
             for upstream in group.members.values():
                 upstream.check_stragglers(now)
-                upstream.forget_speed(now, elapsed)
+                upstream.forget_speed(now, min(elapsed, FAR_REFRESH_S))
             group.refresh(now)
         if far_due:
             pool.far_refreshed_at = now
@@ -153,6 +164,7 @@
     def start_tasks(self, pool: ServicePool, now, effects):
         """Start waiting tasks of one service while there is an upstream for them."""
         blocked: set[str] = set()
+        pool.saturated = False
         while True:
             queue = pool.queue.next_class(blocked)
             if queue is None:
@@ -164,6 +176,7 @@
             upstream = choose(pool, self.choice(job), now, self.rng)
             if upstream is None:
                 blocked.add(queue.name)
+                pool.saturated |= not queue.reserve_percent
                 continue
             self.start(job, queue.take(job), upstream, now, effects)
 
@@ -188,6 +201,7 @@
         self.running[task_id] = job.running[index] = running
         upstream.running[task_id] = running
         job.team.running += 1
+        job.pool.started_ms += job.expected_ms[index]
         job.pool.budget.started(job.pool.state.retry_percent)
         job.pool.group(upstream).push(upstream, now)
         queued_ms = (now - job.job.received) * MS_PER_S
@@ -219,7 +233,7 @@
             started=now,
             expected_s=expected_s,
             timeout=job.job.deadline - now,
-            straggler_s=expected_s * runtimes.straggler_factor(),
+            straggler_s=max(STRAGGLER_MIN_S, expected_s * runtimes.straggler_factor()),
             team=job.team,
             runtimes=runtimes,
             declared_ms=job.job.run_ms[task_id.index],
