--- a/packages/testing/carobramp_testing/chaos/operators.py
+++ b/packages/testing/carobramp_testing/chaos/operators.py
@@ -58,9 +58,9 @@
         number = max(self.accepted) + 1
         tickets = [self.toggle(number)]
         if self.rng.random() * 100 < REWEIGH_PERCENT:
-            tickets = [self.reweigh(number)]
+            tickets = [self.reweigh(number, "operator")]
         if self.rng.random() * 100 < RIVAL_PERCENT:
-            tickets.append(self.reweigh(number))
+            tickets.append(self.reweigh(number, "rival"))
         self.begun[number] = time.time()
         answers = await asyncio.gather(*(self.put(ticket) for ticket in tickets))
         for ticket, answer in zip(tickets, answers, strict=True):
@@ -78,11 +78,14 @@
         change = UpstreamChange(name, self.based_on[name], state)
         return Ticket(number=number, author="operator", upstreams=[change])
 
-    def reweigh(self, number):
-        """Build a ticket that changes the weight of a team."""
+    def reweigh(self, number, author):
+        """Build a ticket that changes the weight of a team.
+
+        Different authors never write the same ticket, which both may have accepted.
+        """
         state = TeamState(QUOTA_SLOTS, weight=self.rng.randint(1, 5))
         change = TeamChange(TEAM, self.based_on[TEAM], state)
-        return Ticket(number=number, author="rival", teams=[change])
+        return Ticket(number=number, author=author, teams=[change])
 
     def take(self, ticket):
         """Note what an accepted ticket set."""
