--- a/packages/core/carobramp_core/dispatch/queue.py
+++ b/packages/core/carobramp_core/dispatch/queue.py
@@ -10,7 +10,6 @@
 therefore lets small ones pass, but only for as long as it itself would take.
 """
 
-import collections
 import heapq
 import itertools
 import math
@@ -18,18 +17,53 @@
 from carobramp_core.dispatch.jobs import JobState
 
 SEQUENCE = itertools.count()
+# Entries from which a heap is cleared of jobs without waiting tasks.
+COMPACT_FROM = 64
 
 
 class TeamQueue:
     """Waiting jobs of one team in one class."""
 
-    __slots__ = ("use", "jobs", "finish_tag", "active")
+    __slots__ = ("use", "jobs", "ages", "finish_tag", "active", "compact_at")
 
     def __init__(self, use):
         self.use = use
         self.jobs: list[tuple[float, int, JobState]] = []
+        self.ages: list[tuple[float, int, JobState]] = []
         self.finish_tag = 0.0
         self.active = False
+        self.compact_at = COMPACT_FROM
+
+    def add(self, job: JobState):
+        """Put a job with waiting tasks into the heaps."""
+        job.queued = True
+        key = job.job.received + job.waiting_ms / 1000 / job.rate
+        heapq.heappush(self.jobs, (key, next(SEQUENCE), job))
+        heapq.heappush(self.ages, (job.job.received, next(SEQUENCE), job))
+        if len(self.jobs) + len(self.ages) >= self.compact_at:
+            self.compact()
+
+    def compact(self):
+        """Drop jobs without waiting tasks.
+
+        The heaps drop them only at their top, where one old job may stay for long.
+        """
+        for _, _, job in self.jobs:
+            job.queued = bool(job.waiting)
+        self.jobs = [entry for entry in self.jobs if entry[2].waiting]
+        self.ages = [entry for entry in self.ages if entry[2].waiting]
+        heapq.heapify(self.jobs)
+        heapq.heapify(self.ages)
+        size = len(self.jobs) + len(self.ages)
+        self.compact_at = max(COMPACT_FROM, 2 * size)
+
+    def oldest(self):
+        """Return the receipt time of the oldest waiting job; infinite if none."""
+        while self.ages:
+            if self.ages[0][2].waiting:
+                return self.ages[0][0]
+            heapq.heappop(self.ages)
+        return math.inf
 
     def head(self) -> JobState | None:
         """Return the first job with waiting tasks, or None."""
@@ -53,8 +87,6 @@
         self.teams: dict[str, TeamQueue] = {}
         self.active: list[tuple[float, int, TeamQueue]] = []
         self.parked: dict[str, TeamQueue] = {}
-        self.ages: list[tuple[float, int, JobState]] = []
-        self.parked_ages: dict[str, list] = collections.defaultdict(list)
         self.virtual = 0.0
         self.tasks = 0
         self.work_ms = 0.0
@@ -71,11 +103,7 @@
         """Put a job with waiting tasks into the order."""
         team = self.teams[job.team.name]
         if not job.queued:
-            job.queued = True
-            key = job.job.received + job.waiting_ms / 1000 / job.rate
-            heapq.heappush(team.jobs, (key, next(SEQUENCE), job))
-            age = (job.job.received, next(SEQUENCE), job)
-            heapq.heappush(self.ages, age)
+            team.add(job)
         self.activate(team)
 
     def put_back(self, job: JobState, index):
@@ -104,8 +132,6 @@
         """Let a parked team take part again."""
         team = self.parked.pop(team_name, None)
         if team is not None:
-            for entry in self.parked_ages.pop(team_name, ()):
-                heapq.heappush(self.ages, entry)
             self.activate(team)
 
     def oldest_key(self):
@@ -114,14 +140,8 @@
         Jobs of parked teams do not count: their age must not give precedence to
         younger jobs of other teams.
         """
-        while self.ages:
-            job = self.ages[0][2]
-            if job.waiting and job.team.name not in self.parked:
-                return job.job.received + self.max_wait_s
-            entry = heapq.heappop(self.ages)
-            if job.waiting:
-                self.parked_ages[job.team.name].append(entry)
-        return math.inf
+        oldest = min((team.oldest() for _, _, team in self.active), default=math.inf)
+        return oldest + self.max_wait_s
 
     def peek(self) -> JobState | None:
         """Return the next job; teams without room are parked."""
@@ -152,6 +172,13 @@
         heapq.heapreplace(self.active, entry)
         return index
 
+    def share_of(self, use):
+        """Return the share of a team among the teams that take part."""
+        others = sum(
+            team.use.weight for _, _, team in self.active if team.use is not use
+        )
+        return use.weight / (use.weight + others)
+
     def drop(self, job: JobState):
         """Remove the waiting tasks of a job that ended."""
         if job.waiting:
--- a/packages/core/carobramp_core/submission/ids.py
+++ b/packages/core/carobramp_core/submission/ids.py
@@ -143,7 +143,11 @@
     if text is None:
         return NoId()
     parsed = parse_issued(text) or parse_caller_made(text)
-    return parsed or InvalidId(text[:MAX_ID_CHARS])
+    if parsed is not None:
+        return parsed
+    # Header bytes that are not UTF-8 arrive as surrogates, which no answer can hold.
+    shown = text[:MAX_ID_CHARS].encode("ascii", "replace").decode()
+    return InvalidId(shown)
 
 
 class IdIssuer:
--- a/packages/daemon/carobramp_daemon/api.py
+++ b/packages/daemon/carobramp_daemon/api.py
@@ -12,6 +12,7 @@
 from carobramp_daemon.forwards import CancelResult
 from carobramp_daemon.gate import Gate
 from carobramp_daemon.jobs import Submission
+from carobramp_daemon.listener import Listener
 from carobramp_daemon.middleware import ActiveRequests, render_errors
 from carobramp_daemon.operator import OperatorApi
 from carobramp_daemon.problems import problem, problem_response
@@ -54,6 +55,7 @@
         self.log_line = log
         self.port = 0
         self.runner = None
+        self.listener: Listener | None = None
         self.operator: OperatorApi | None = None
         self.active = ActiveRequests(gate, metrics)
 
@@ -84,43 +86,47 @@
         )
         await self.runner.setup()
         vm = self.settings.vm
-        site = web.TCPSite(self.runner, vm.host, vm.caller_port)
-        await site.start()
-        self.port = self.runner.addresses[0][1]
+        self.listener = Listener(
+            self.runner, vm.host, vm.caller_port, lambda: self.active.count
+        )
+        self.port = await self.listener.start()
         self.log_line.info("listening", port=self.port)
 
     async def on_stop(self):
         """Stop listening; answers under way are finished first."""
+        if self.listener is not None:
+            await self.listener.close(ANSWER_WRITE_S)
         if self.runner is not None:
             await self.runner.cleanup()
 
     async def read(self, request, kind):
         """Return the checked body and its bytes, or an error response."""
+        not_run = SUBMISSION_HEADER not in request.headers
         try:
             data = await request.read()
         except web.HTTPRequestEntityTooLarge:
             limit = self.settings.limits.max_body_bytes
             detail = f"the body is over {limit} bytes"
-            return self.refuse(Reason.BODY_TOO_LARGE, detail), b""
+            return self.refuse(Reason.BODY_TOO_LARGE, detail, not_run=not_run), b""
         except (HttpProcessingError, web.RequestPayloadError) as error:
             detail = f"the body cannot be read: {error}"
-            return self.refuse(Reason.MALFORMED_REQUEST, detail), b""
+            return self.refuse(Reason.MALFORMED_REQUEST, detail, not_run=not_run), b""
         message = decode(data, kind)
         if isinstance(message, InvalidInput):
             details = problem(
                 Reason.MALFORMED_REQUEST,
                 str(message),
-                not_run=SUBMISSION_HEADER not in request.headers,
+                not_run=not_run,
                 invalid=message,
             )
             self.metrics.count("refusals", Reason.MALFORMED_REQUEST)
             return problem_response(details), data
         return message, data
 
-    def refuse(self, reason, detail, retry_after=0.0):
+    def refuse(self, reason, detail, retry_after=0.0, not_run=False):
         """Count and build a refusal that carries no submission."""
         self.metrics.count("refusals", reason)
-        return problem_response(problem(reason, detail), retry_after)
+        return problem_response(problem(reason, detail, not_run=not_run), retry_after)
 
     async def issue_ids(self, request):
         """Hand out submission ids.
--- a/packages/testing/carobramp_testing/processes.py
+++ b/packages/testing/carobramp_testing/processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import os
 import signal
 import sys
@@ -74,7 +75,9 @@
     def signal(self, number):
         """Send a signal to the process, if it still runs."""
         if self.child is not None and self.child.returncode is None:
-            os.kill(self.child.pid, number)
+            # The child may have been reaped before its status is set here.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.child.pid, number)
 
     async def wait(self, timeout=STOP_TIMEOUT_S):
         """Wait for the end of the process and return its status."""
