--- a/packages/testing/carobramp_testing/chaos/operators.py
+++ b/packages/testing/carobramp_testing/chaos/operators.py
@@ -23,7 +23,7 @@
 CALL_TIMEOUT_S = 3.0
 RIVAL_PERCENT = 20
 # Tickets about something else, so that upstreams stay away longer than the grace.
-REWEIGH_PERCENT = 60
+REWEIGH_PERCENT = 80
 TEAM = "festival"
 TAKEN = "ticket_number_taken"
 ACCEPTED = "accepted"
