Wait for a late decision only when the answer is not there

Cause: each job waited twice for its answer; the second wait is only for a process that was paused past the deadline.

Ruled out: removing the second wait; without it two callers of one job got different answers after SIGCONT.

Change: the second wait is skipped when the answer is there.

Conclusion: kept for its simplicity; no gain is shown.

--- a/packages/daemon/carobramp_daemon/submission.py
+++ b/packages/daemon/carobramp_daemon/submission.py
@@ -205,9 +205,10 @@
         remaining = submission.deadline + margin - time.monotonic()
         try:
             await asyncio.wait({waiter}, timeout=max(0.0, remaining))
-            # After a pause of the process every timer is due at once; the margin
-            # lets dispatch decide the job first.
-            await asyncio.wait({waiter}, timeout=margin)
+            if not waiter.done():
+                # After a pause of the process every timer is due at once; the
+                # margin lets dispatch decide the job first.
+                await asyncio.wait({waiter}, timeout=margin)
         finally:
             self.drop_waiter(name, waiter)
         if not waiter.done():
