--- a/packages/testing/carobramp_testing/tests/test_submission.py
+++ b/packages/testing/carobramp_testing/tests/test_submission.py
@@ -1,118 +1,24 @@
-"""Submissions run at most once, with real processes and faults."""
+"""Submissions run at most once while the store fails, or they are repeated."""
 
 import asyncio
-import collections
-import functools
-import signal
 import unittest
 
 import msgspec
 
 from carobramp_testing.builders import caller_made_id, job_request
 from carobramp_testing.exposition import read_samples
-from carobramp_testing.processes import HTTP_OK, Deployment, wait_for
-
-FIRST, SECOND, THIRD = VMS = ("tilburg-0", "tilburg-1", "tilburg-2")
-SETTINGS = {
-    "platform": {"timeout_ms": 400},
-    "submission": {"forward_margin_ms": 300},
-    "membership": {"call_timeout_ms": 500, "heartbeat_ms": 200, "list_poll_ms": 200},
-}
-NO_REPLY = {"forward_lost", "owner_unreachable"}
-CLAIM_CALLS = ["table/transact", "table/read"]
-LONG_MS = 60_000
-# A job whose run time is its deadline is refused as unmeetable.
-LONG_DEADLINE_MS = 2 * LONG_MS
-
-
-def with_deployment(test):
-    """Run a coroutine method as a test in the loop of the shared deployment."""
-
-    @functools.wraps(test)
-    def run(self):
-        self.runner.run(test(self))
-
-    return run
-
-
-async def wait_linked(deployment):
-    """Wait until each VM is ready and sees the others live."""
-    for name in VMS:
-        await deployment.wait_ready(name)
-        await wait_for(functools.partial(sees_others, deployment, name))
-
-
-async def sees_others(deployment, name):
-    """Whether a VM sees the others live."""
-    status = await deployment.get_json(f"{deployment.url(name)}/v1/status")
-    return sum(peer["live"] for peer in status["peers"]) == len(VMS) - 1
-
-
-class SubmissionCase(unittest.TestCase):
-    """Tests that share one deployment of three entry VMs in one zone."""
-
-    deployment: Deployment
-    runner: asyncio.Runner
-    ids = iter(range(1, 1 << 30))
-
-    @classmethod
-    def setUpClass(cls):
-        """Start the deployment."""
-        cls.runner = asyncio.Runner()
-        cls.addClassCleanup(cls.runner.close)
-        cls.deployment = Deployment(vms_per_zone=len(VMS), settings=SETTINGS)
-        cls.runner.run(cls.deployment.__aenter__())
-        cls.addClassCleanup(lambda: cls.runner.run(cls.deployment.__aexit__()))
-        cls.runner.run(wait_linked(cls.deployment))
-
-    def tearDown(self):
-        """Take back the faults of the platform."""
-        self.runner.run(self.set_faults())
-
-    async def set_faults(self, **faults):
-        """Set the faults of the stand-in platform; none without arguments."""
-        url = f"{self.deployment.platform_url}/faults"
-        await self.deployment.post_json(url, faults)
-
-    async def keys(self, vm):
-        """Return an id issued by a VM and a caller-made one, by kind."""
-        return {
-            "issued": await self.deployment.new_id(vm),
-            "caller-made": caller_made_id(next(self.ids)),
-        }
-
-    def submit(self, vm, key, **fields):
-        """Submit a job at a VM in a task of its own."""
-        submission = self.deployment.submit(vm, job_request(**fields), key)
-        return asyncio.get_running_loop().create_task(submission)
-
-    async def submit_problem(self, vm, key, **fields):
-        """Submit a job that must fail and return the problem."""
-        status, body = await self.submit(vm, key, **fields)
-        self.assertNotEqual(status, HTTP_OK, body)
-        return body
-
-    async def starts_of(self, key):
-        """Return the number of starts of each task of a submission."""
-        starts = await self.deployment.starts()
-        return {t: n for t, n in starts.items() if t.rpartition(":")[0] == key}
-
-    async def wait_started(self, key, tasks=1):
-        """Wait until a number of tasks of a submission have started."""
-
-        async def started():
-            return len(await self.starts_of(key)) >= tasks
-
-        await wait_for(started)
-
-    async def assert_each_once(self, key, tasks):
-        """Check in the upstreams' records that each task started once."""
-        expected = {f"{key}:{n}": 1 for n in range(tasks)}
-        self.assertEqual(await self.starts_of(key), expected)
-
-    async def assert_at_most_once(self, key):
-        """Check in the upstreams' records that no task started twice."""
-        self.assertLessEqual(set((await self.starts_of(key)).values()), {1})
+from carobramp_testing.processes import HTTP_OK, wait_for
+from carobramp_testing.tests.submission_case import (
+    CLAIM_CALLS,
+    FIRST,
+    LONG_DEADLINE_MS,
+    LONG_MS,
+    SECOND,
+    THIRD,
+    VMS,
+    SubmissionCase,
+    with_deployment,
+)
 
 
 class RepeatedTests(SubmissionCase):
@@ -297,144 +203,6 @@
                     await self.assert_each_once(key, 1)
 
 
-class OwnerFailureTests(SubmissionCase):
-    """The owner dies, freezes, drains or is replaced."""
-
-    @with_deployment
-    async def test_owner_killed_in_mid_job(self):
-        """Guards against a second start after the owner died."""
-        keys = await self.keys(FIRST)
-        jobs = {}
-        for key in keys.values():
-            jobs[key] = self.submit(FIRST, key, run_ms=800)
-            await self.wait_started(key)
-        await self.deployment.vms[FIRST].kill()
-        await asyncio.gather(*jobs.values(), return_exceptions=True)
-        reasons = collections.defaultdict(list)
-        for key in keys.values():
-            for vm in (SECOND, THIRD):
-                body = await self.submit_problem(vm, key, run_ms=800)
-                self.assertFalse(body["not_run"])
-                reasons["dead"].append(body["reason"])
-        await self.deployment.start_vm(FIRST)
-        await wait_linked(self.deployment)
-        for key in keys.values():
-            for vm in VMS:
-                body = await self.submit_problem(vm, key, run_ms=800)
-                self.assertFalse(body["not_run"])
-                reasons["replaced"].append(body["reason"])
-        self.assertLessEqual(set(reasons["dead"]), NO_REPLY)
-        self.assertLessEqual(set(reasons["replaced"]), NO_REPLY | {"owner_gone"})
-        self.assertIn("owner_gone", reasons["replaced"])
-        for key in keys.values():
-            await self.assert_each_once(key, 1)
-
-    @with_deployment
-    async def test_owner_frozen_in_mid_job(self):
-        """Guards against a second start while the owner is frozen, or after."""
-        keys = await self.keys(FIRST)
-        # Ten tasks in eight slots: some still wait when the VM freezes. The deadline
-        # leaves room for a slow machine, so that the job is not refused.
-        fields = {"tasks": 10, "run_ms": 400, "deadline_ms": 3000}
-        for kind, key in keys.items():
-            with self.subTest(kind):
-                job = self.submit(FIRST, key, **fields)
-                await self.wait_started(key)
-                self.deployment.vms[FIRST].signal(signal.SIGSTOP)
-                try:
-                    calls = [self.submit(vm, key, **fields) for vm in (SECOND, THIRD)]
-                    for _, body in await asyncio.gather(*calls):
-                        self.assertIn(body["reason"], NO_REPLY)
-                        self.assertFalse(body["not_run"])
-                finally:
-                    self.deployment.vms[FIRST].signal(signal.SIGCONT)
-                status, body = await job
-                again = await self.submit(SECOND, key, **fields)
-                self.assertEqual(again, (status, body))
-                await self.assert_at_most_once(key)
-
-    @with_deployment
-    async def test_owner_frozen_before_the_job(self):
-        """Guards against a start at every forward that waited in a frozen VM."""
-        key = await self.deployment.new_id(FIRST)
-        fields = {"run_ms": 50, "deadline_ms": 500}
-        self.deployment.vms[FIRST].signal(signal.SIGSTOP)
-        try:
-            calls = [self.submit(vm, key, **fields) for vm in (SECOND, THIRD) * 2]
-            for _, body in await asyncio.gather(*calls):
-                self.assertIn(body["reason"], NO_REPLY)
-                self.assertFalse(body["not_run"])
-        finally:
-            self.deployment.vms[FIRST].signal(signal.SIGCONT)
-        await self.submit(SECOND, key, **fields)
-        await self.submit(FIRST, key, **fields)
-        await self.assert_at_most_once(key)
-
-    @with_deployment
-    async def test_claiming_vm_frozen(self):
-        """Guards against two starts when a claim is sent late by a frozen VM."""
-        key = caller_made_id(next(self.ids))
-        await self.set_faults(delay_ms=200, paths=CLAIM_CALLS)
-        first = self.submit(FIRST, key, run_ms=50, deadline_ms=2000)
-        await self.wait_claim_sent()
-        self.deployment.vms[FIRST].signal(signal.SIGSTOP)
-        try:
-            second = await self.submit(SECOND, key, run_ms=50, deadline_ms=1000)
-        finally:
-            self.deployment.vms[FIRST].signal(signal.SIGCONT)
-        third = await self.submit(THIRD, key, run_ms=50, deadline_ms=2000)
-        answers = [second, await first, third]
-        for status, body in answers:
-            self.assertTrue(status == HTTP_OK or not body["not_run"], body)
-        await self.assert_at_most_once(key)
-
-    async def wait_claim_sent(self):
-        """Wait until the platform has received one more transaction."""
-        url = f"{self.deployment.platform_url}/calls"
-
-        async def count():
-            calls = await self.deployment.get_json(url)
-            return calls.get("table/transact", 0)
-
-        before = await count()
-
-        async def more():
-            return await count() > before
-
-        await wait_for(more)
-
-    @with_deployment
-    async def test_draining_owner(self):
-        """Guards against a drain that interrupts a job or takes a new one."""
-        key = await self.deployment.new_id(FIRST)
-        fresh = await self.deployment.new_id(FIRST)
-        job = self.submit(FIRST, key, run_ms=2500)
-        await self.wait_started(key)
-        process = self.deployment.vms[FIRST]
-        process.signal(signal.SIGTERM)
-        readyz = f"{self.deployment.url(FIRST)}/readyz"
-
-        async def not_ready():
-            async with self.deployment.session.get(readyz) as response:
-                return response.status != HTTP_OK
-
-        await wait_for(not_ready)
-        attached = self.submit(SECOND, key, run_ms=2500)
-        refusals = {}
-        for name in ("", fresh, caller_made_id(next(self.ids))):
-            body = await self.submit_problem(FIRST, name)
-            self.assertEqual(body["reason"], "draining")
-            refusals[name] = body["not_run"]
-        self.assertEqual(list(refusals.values()), [True, True, False])
-        self.assertEqual(await attached, await job)
-        self.assertEqual((await job)[0], HTTP_OK)
-        self.assertEqual(await process.wait(), 0)
-        await self.assert_each_once(key, 1)
-        self.assertEqual(await self.starts_of(fresh), {})
-        await self.deployment.start_vm(FIRST)
-        await wait_linked(self.deployment)
-
-
 class StoreFailureTests(SubmissionCase):
     """The platform's table is down, slow or loses replies."""
 
