--- a/packages/testing/carobramp_testing/chaos/leaving.py
+++ b/packages/testing/carobramp_testing/chaos/leaving.py
@@ -27,17 +27,20 @@
     """Return the time from which every process had a ticket in force.
 
     A process that ended without it counts as running for `unseen_s` after its last
-    sample.
+    sample; one that had it in its first sample started later and does not count.
 
     Examples
     ========
 
     >>> samples = {("a", 1): [(1.0, 4), (2.0, 5)], ("b", 2): [(1.5, 4)]}
+    >>> samples["b", 3] = [(9.0, 5)]
     >>> in_force_at(samples, 5, unseen_s=3.0)
     4.5
     """
     times = []
     for taken in samples.values():
+        if taken[0][1] >= number:
+            continue
         seen = [at for at, sampled in taken if sampled >= number]
         times.append(seen[0] if seen else taken[-1][0] + unseen_s)
     return max(times)
