Replace peer channels before they grow; keep far channels few

Two causes were found. And the turn-wise heartbeats opened a connection to each of 112 VMs of other zones, at 61 KB for both sides.

Ruled out: closing far channels after each heartbeat (3.5 handshakes a second do not fit the budget of 11 KB/s); a smaller table of closed streams inside h2.

Change: PeerClients replaces a channel after 1,024 calls, and calls under way end on the old one. A VM of another zone that answers keeps its turn for 8 heartbeats, then its channel is closed. Between its turns a far VM counts as live while its zone is heard from and it has left no heartbeat unanswered.

--- a/packages/core/carobramp_core/membership/tests/test_view.py
+++ b/packages/core/carobramp_core/membership/tests/test_view.py
@@ -1,9 +1,12 @@
 """The view of the other entry VMs."""
 
+import itertools
 import unittest
 
 from carobramp_core.dispatch.messages import PeerLoad
 from carobramp_core.membership.view import (
+    FAR_KNOWN_S,
+    FAR_TURNS,
     Appeared,
     Forgotten,
     ListSeen,
@@ -11,6 +14,7 @@
     PeerStatus,
     StatusHeard,
     Tick,
+    Unanswered,
     WentSilent,
 )
 from carobramp_core.platform import VmEntry
@@ -179,6 +183,33 @@
                 asked.add(member.name)
         self.assertEqual(len(asked), 14 * 8)
 
+    def test_far_vm_that_answers_keeps_its_turn(self):
+        """Guards against a connection to each VM of each other zone."""
+        chosen = []
+        for turn in range(3 * FAR_TURNS):
+            now = 4.0 * turn
+            (member,) = [m for m in self.view.far_targets(now) if m.zone == "z01"]
+            member.tried_at = now
+            self.view.handle(StatusHeard(status(member.name, "z01")), now + 0.1)
+            chosen.append(member.name)
+        changes = sum(a != b for a, b in itertools.pairwise(chosen))
+        self.assertEqual(changes, 3)
+        self.assertEqual(len(set(chosen)), 4)
+
+    def test_far_vm_is_live_with_its_zone(self):
+        """Guards against VMs of other zones that seem dead between their turns."""
+        self.view.handle(StatusHeard(status("zone-01-a", "zone-01")), 1.0)
+        self.view.handle(StatusHeard(status("zone-01-b", "zone-01")), 100.0)
+        member = self.view.members["zone-01-a"]
+        self.assertTrue(self.view.is_live(member, 101.0))
+        self.assertFalse(self.view.is_live(member, 115.0))
+        self.view.handle(StatusHeard(status("zone-01-b", "zone-01")), 120.0)
+        self.view.handle(Unanswered("zone-01-a"), 121.0)
+        self.assertFalse(self.view.is_live(member, 121.0))
+        self.view.handle(StatusHeard(status("zone-01-a", "zone-01")), 122.0)
+        self.assertTrue(self.view.is_live(member, 123.0))
+        self.assertFalse(self.view.is_live(member, 123.0 + FAR_KNOWN_S))
+
     def test_far_zone_counts_and_loads(self):
         """Guards against shares that miss VMs of other zones."""
         load = (PeerLoad("club", 2, 1),)
--- a/packages/core/carobramp_core/membership/view.py
+++ b/packages/core/carobramp_core/membership/view.py
@@ -20,8 +20,15 @@
 MAX_MEMBERS = 1024
 """Candidates kept at most; invented names must not fill the memory."""
 
+FAR_TURNS = 8
+"""Far heartbeats to one VM before the next one's turn: a connection to each VM of
+each other zone would take 60 KB, 7 MB at 120 VMs."""
+
+FAR_KNOWN_S = 600.0
+"""Longest time since a VM of another zone was heard for it to count as live."""
+
 SILENT_TURN = 4
-"""Every fourth far heartbeat of a zone goes to a silent VM, if there is one."""
+"""Every fourth turn in a zone goes to a VM that did not answer, if there is one."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,6 +66,13 @@
     upstreams: frozenset[str]
 
 
+@dataclasses.dataclass(frozen=True)
+class Unanswered:
+    """A VM did not answer a heartbeat."""
+
+    vm: str
+
+
 @dataclasses.dataclass(frozen=True)
 class Tick:
     """Time passed; VMs that have been silent for long are dropped."""
@@ -99,6 +113,7 @@
     added_at: float = 0.0
     heard_at: float | None = None
     tried_at: float | None = None
+    failed_at: float | None = None
     was_live: bool = False
     status: PeerStatus | None = None
     loads: tuple[PeerLoad, ...] = ()
@@ -114,6 +129,13 @@
         """Whether the list or the VM itself says that it is leaving."""
         return self.list_leaving or bool(self.status and self.status.leaving)
 
+    @property
+    def failed(self) -> bool:
+        """Whether a heartbeat to it went unanswered since it was heard."""
+        if self.failed_at is None:
+            return False
+        return self.heard_at is None or self.failed_at > self.heard_at
+
     def silent_for(self, now: float) -> float:
         """Return the time since it was heard, or since it became a candidate."""
         return now - (self.added_at if self.heard_at is None else self.heard_at)
@@ -142,6 +164,8 @@
         self.members: dict[str, Member] = {}
         self.marked_leaving: dict[str, float] = {}
         self.turns: dict[str, int] = {}
+        self.far_choice: dict[str, Member] = {}
+        self.zone_heard_at: dict[str, float] = {}
         for peer in peers:
             if peer.name != vm:
                 member = self.member(peer.name, peer.availability_zone, now)
@@ -162,16 +186,23 @@
             member = self.members[name] = Member(name, zone, added_at=now)
         return member
 
-    def window(self, member):
-        """Return the silence after which a VM is not live, in seconds."""
-        near = member.zone == self.zone
-        ms = self.settings.live_ms if near else self.settings.far_live_ms
-        return ms / 1000
-
     def is_live(self, member, now):
-        """Whether a VM was heard from within its window."""
+        """Whether a VM was heard from lately.
+
+        A VM of another zone is heard from in its turn only. It counts as live for
+        longer while its zone is heard from and it has not left a heartbeat without
+        an answer.
+        """
         heard = member.heard_at
-        return heard is not None and now - heard <= self.window(member)
+        if heard is None:
+            return False
+        if member.zone == self.zone:
+            return now - heard <= self.settings.live_ms / 1000
+        window = self.settings.far_live_ms / 1000
+        if now - heard <= window:
+            return True
+        zone_heard = now - self.zone_heard_at.get(member.zone, heard) <= window
+        return zone_heard and not member.failed and now - heard <= FAR_KNOWN_S
 
     def live_peers(self, now: float) -> list[Member]:
         """Return the live VMs, without this one."""
@@ -217,20 +248,30 @@
         for member in self.members.values():
             if member.zone != self.zone and member.address:
                 zones.setdefault(member.zone, []).append(member)
-        return [self.in_turn(zone, found, now) for zone, found in zones.items()]
+        return [self.in_turn(zone, found) for zone, found in zones.items()]
 
-    def in_turn(self, zone, members, now):
+    def in_turn(self, zone, members):
         """Return the member of another zone whose turn it is.
 
-        The one tried longest ago is next; silent ones get every fourth turn, so
+        A VM that answers keeps its turn for `FAR_TURNS` heartbeats. Then the one
+        tried longest ago is next; those that did not answer get every fourth turn, so
         that dead VMs do not delay news from the live ones.
         """
         turn = self.turns[zone] = self.turns.get(zone, 0) + 1
-        forget = self.settings.forget_ms / 1000
-        silent = [m for m in members if m.silent_for(now) > forget]
-        heard = [m for m in members if m.silent_for(now) <= forget]
-        preferred = silent if turn % SILENT_TURN == 0 else heard
-        return min(preferred or members, key=last_tried)
+        present = self.far_choice.get(zone)
+        if turn % FAR_TURNS and present in members and self.answers(present):
+            return present
+        failed = [m for m in members if m.failed]
+        others = [m for m in members if not m.failed]
+        preferred = failed if turn // FAR_TURNS % SILENT_TURN == 0 else others
+        chosen = min(preferred or members, key=last_tried)
+        self.far_choice[zone] = chosen
+        return chosen
+
+    def answers(self, member):
+        """Whether a VM answered the last heartbeat to it."""
+        heard, tried = member.heard_at, member.tried_at
+        return heard is not None and tried is not None and heard >= tried
 
     def summary(self, own: tuple[PeerLoad, ...], now: float) -> "Summary":
         """Return what heartbeats to other zones and dispatch need to know.
@@ -317,6 +358,7 @@
         return
     member.heard_at = now
     member.zone = status.zone
+    view.zone_heard_at[status.zone] = now
     member.own_address = status.address or member.own_address
     member.status = newest_status(member.status, status)
     if status.loads is not None:
@@ -339,6 +381,13 @@
     return dataclasses.replace(status, number=present.number, digest=present.digest)
 
 
+@on_event.register
+def _(event: Unanswered, view, now, changes):
+    member = view.members.get(event.vm)
+    if member is not None:
+        member.failed_at = now
+
+
 @on_event.register
 def _(event: ListSeen, view, now, changes):
     if not event.entries:
--- a/packages/daemon/carobramp_daemon/membership.py
+++ b/packages/daemon/carobramp_daemon/membership.py
@@ -18,6 +18,7 @@
     PeerStatus,
     StatusHeard,
     Tick,
+    Unanswered,
     WentSilent,
 )
 from carobramp_core.platform import Unavailable
@@ -122,9 +123,18 @@
     async def send_far(self):
         """Exchange heartbeats with one VM of each other availability zone."""
         while not self.should_stop:
-            self.send_to(self.view.far_targets(time.monotonic()))
+            before = list(self.view.far_choice.values())
+            targets = self.view.far_targets(time.monotonic())
+            self.drop_channels(before, targets)
+            self.send_to(targets)
             await self.pause(self.far_interval())
 
+    def drop_channels(self, before, targets):
+        """Close the channels to VMs of other zones whose turn is over."""
+        for member in before:
+            if member not in targets and member.address is not None:
+                self.control.retire(member.address)
+
     def far_interval(self):
         """Return the time to the next far heartbeats; short until one was answered."""
         live = self.view.live_peers(time.monotonic())
@@ -176,6 +186,7 @@
             self.timing.call_timeout_ms / 1000,
         )
         if isinstance(reply, PeerUnreachable):
+            self.take(Unanswered(member.name))
             self.drop_channel(member, address)
             return None
         return self.hear(reply)
--- a/packages/daemon/carobramp_daemon/peers.py
+++ b/packages/daemon/carobramp_daemon/peers.py
@@ -1,6 +1,7 @@
 """Calls between entry VMs: server and clients on grpclib."""
 
 import asyncio
+import contextlib
 import dataclasses
 from collections.abc import Awaitable, Callable
 
@@ -19,6 +20,9 @@
 Handler = Callable[..., Awaitable]
 
 
+MAX_CALLS = 1024
+
+
 @dataclasses.dataclass(frozen=True)
 class PeerUnreachable:
     """No usable reply came.
@@ -127,33 +131,74 @@
         await self.answer(stream, "notify_ticket", self.handlers.notify_ticket)
 
 
+@dataclasses.dataclass
+class PeerChannel:
+    """Channel to one peer, with its calls so far and those under way."""
+
+    channel: Channel
+    calls: int = 0
+    open_calls: int = 0
+    retired: bool = False
+
+
 class PeerClients(Service):
-    """Channels to other entry VMs, one for each address, opened on demand."""
+    """Channels to other entry VMs, one for each address, opened on demand.
+
+    A channel is replaced after `MAX_CALLS` calls: both sides of an HTTP/2 connection
+    remember each closed stream, up to 65,536 of them, which is about 8 MB a side.
+    """
 
     def __init__(self, settings: Settings, metrics, log):
         super().__init__()
         self.settings = settings
         self.metrics = metrics
         self.log_line = log
-        self.channels: dict[tuple[str, int], Channel] = {}
+        self.channels: dict[tuple[str, int], PeerChannel] = {}
 
     async def on_stop(self):
         """Close all channels."""
-        for channel in self.channels.values():
-            channel.close()
+        for peer in self.channels.values():
+            peer.channel.close()
 
+    @contextlib.contextmanager
     def stub(self, address):
-        """Return the stub of the peer at (host, port)."""
-        channel = self.channels.get(address)
-        if channel is None:
-            channel = self.channels[address] = Channel(*address)
-        return peer_grpc.PeerStub(channel)
+        """Give the stub of the peer at (host, port) for one call."""
+        peer = self.channels.get(address)
+        if peer is not None and peer.calls >= MAX_CALLS:
+            self.retire(address)
+            peer = None
+        if peer is None:
+            peer = self.channels[address] = PeerChannel(Channel(*address))
+        peer.calls += 1
+        peer.open_calls += 1
+        try:
+            yield peer_grpc.PeerStub(peer.channel)
+        finally:
+            peer.open_calls -= 1
+            if peer.retired and not peer.open_calls:
+                peer.channel.close()
+
+    def retire(self, address):
+        """Use the channel to an address no more; its calls under way go on."""
+        peer = self.channels.pop(address, None)
+        if peer is None:
+            return
+        peer.retired = True
+        if not peer.open_calls:
+            peer.channel.close()
 
     def forget(self, address):
-        """Close the channel to an address that is no longer used."""
-        channel = self.channels.pop(address, None)
-        if channel is not None:
-            channel.close()
+        """Close the channel to an address at once, with its calls under way."""
+        peer = self.channels.pop(address, None)
+        if peer is not None:
+            peer.channel.close()
+
+    @contextlib.asynccontextmanager
+    async def open(self, address, call):
+        """Open the stream of one call."""
+        with self.stub(address) as stub:
+            async with getattr(stub, call).open() as stream:
+                yield stream
 
     async def call(self, address, call, request, timeout):
         """Send a unary call once; return its reply or `PeerUnreachable`.
@@ -166,9 +211,11 @@
         request : request message
         timeout : longest wait, in seconds
         """
-        method = getattr(self.stub(address), call)
         try:
-            async with asyncio.timeout(timeout), method.open() as stream:
+            async with (
+                asyncio.timeout(timeout),
+                self.open(address, call) as stream,
+            ):
                 await stream.send_message(request, end=True)
                 bound_messages(stream, self.settings.limits.max_peer_message_bytes)
                 reply = await stream.recv_message()
@@ -194,10 +241,12 @@
 
         Replies over `max_bytes` together are given up.
         """
-        method = getattr(self.stub(address), call)
         replies, size = [], 0
         try:
-            async with asyncio.timeout(timeout), method.open() as stream:
+            async with (
+                asyncio.timeout(timeout),
+                self.open(address, call) as stream,
+            ):
                 await stream.send_message(request, end=True)
                 bound_messages(stream, max_bytes)
                 async for reply in stream:
--- /dev/null
+++ b/packages/daemon/carobramp_daemon/tests/test_peers.py
@@ -0,0 +1,70 @@
+"""Tests of the channels between entry VMs."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from carobramp_daemon import peers
+from carobramp_daemon.logs import Log
+from carobramp_daemon.metrics import Metrics
+from carobramp_daemon.peers import PeerApi, PeerClients, PeerHandlers
+from carobramp_schema.generated.peer_pb2 import PeerStatus
+from carobramp_testing.builders import vm_settings
+
+CALLS = 8
+TIMEOUT_S = 10
+
+
+class ChannelTests(unittest.IsolatedAsyncioTestCase):
+    """Channels are replaced without a lost call."""
+
+    async def asyncSetUp(self):
+        """Start a server whose handler waits for `self.go`."""
+        self.go = asyncio.Event()
+        handlers = PeerHandlers(heartbeat=self.heartbeat)
+        settings = vm_settings("a", "http://127.0.0.1:1")
+        log = Log("peer", "a")
+        self.server = PeerApi(settings, handlers, Metrics(), log)
+        self.clients = PeerClients(settings, Metrics(), log)
+        for service in (self.server, self.clients):
+            await service.start()
+            self.addAsyncCleanup(service.stop)
+        self.address = ("127.0.0.1", self.server.port)
+
+    async def heartbeat(self, request):
+        """Answer with the name in the request."""
+        await self.go.wait()
+        return PeerStatus(vm=request.vm)
+
+    def call(self, name):
+        """Send one heartbeat."""
+        request = PeerStatus(vm=name)
+        return self.clients.call(self.address, "Heartbeat", request, TIMEOUT_S)
+
+    async def test_channel_is_replaced(self):
+        """Guards against the record of closed streams that grows with each call."""
+        self.go.set()
+        seen = set()
+        with mock.patch.object(peers, "MAX_CALLS", 2):
+            for number in range(CALLS):
+                reply = await self.call(str(number))
+                self.assertEqual(reply.vm, str(number))
+                seen.add(id(self.clients.channels[self.address]))
+        self.assertGreater(len(seen), 1)
+        self.assertEqual(len(self.clients.channels), 1)
+
+    async def test_calls_under_way_survive(self):
+        """Guards against a replaced channel that cuts off its calls."""
+        with mock.patch.object(peers, "MAX_CALLS", 2):
+            calls = [asyncio.create_task(self.call(str(n))) for n in range(CALLS)]
+            await asyncio.sleep(0)
+            self.clients.retire(self.address)
+            self.go.set()
+            replies = await asyncio.gather(*calls)
+        self.assertEqual(
+            [reply.vm for reply in replies], [str(n) for n in range(CALLS)]
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
