Renew the estimates of dispatch only while there is work

Each PeersSeen renewed the estimates of 1,800 upstreams on an idle VM.

Ruled out: less frequent heartbeats; they carry ticket numbers.

Change: Dispatcher.handle renews the estimates only while jobs or tasks are under way; the first job after a pause renews them at once.

--- a/packages/core/carobramp_core/dispatch/engine.py
+++ b/packages/core/carobramp_core/dispatch/engine.py
@@ -88,7 +88,10 @@
         effects: list[Effect] = []
         self.expire(now, effects)
         on_event(event, self, now, effects)
-        if now - self.refreshed_at >= self.refresh_interval():
+        # Estimates of an idle VM are renewed with its next job; renewing those of
+        # 1,800 upstreams each second took 2% of a core.
+        busy = self.jobs or self.running
+        if busy and now - self.refreshed_at >= self.refresh_interval():
             self.refresh(now)
         self.start_waiting(now, effects)
         return effects
