Start a retried task anywhere instead of waiting for its own zone

Their only upstream of the own zone had not started them, and was usable again after its back-off; the policy waited for a slot of it that these tasks must not use.

Change: a task that an upstream did not start waits neither for the slots of the own zone nor for a faster upstream.

--- a/packages/core/carobramp_core/dispatch/routing.py
+++ b/packages/core/carobramp_core/dispatch/routing.py
@@ -80,16 +80,19 @@
 def earliest_finish(pool, choice: Choice, now, rng):
     """Take the earliest expected finish; wait briefly for a faster upstream."""
     near = pool.near.pick(choice.percent, now, choice.exclude)
-    if near is None:
+    if near is None and choice.exclude:
+        # The slots that come free next may be those that the task must not use.
+        finish = float("inf")
+    elif near is None:
         finish = waiting_finish(pool.near, choice)
     else:
         finish = choice.work_ms / near.speed + choice.network_ms
     far = spill(pool, choice, finish, now)
     if far is not None:
         return far
-    if near is not None and worth_waiting(pool.near, choice, near):
-        return None
-    return near
+    if near is None or choice.exclude or not worth_waiting(pool.near, choice, near):
+        return near
+    return None
 
 
 def waiting_finish(group: Group, choice: Choice):
--- a/packages/core/carobramp_core/dispatch/tests/test_routing.py
+++ b/packages/core/carobramp_core/dispatch/tests/test_routing.py
@@ -65,6 +65,29 @@
         driver.answer(starts[0])
         self.assertEqual([s.upstream for s in driver.starts()], ["fast"])
 
+    def test_a_retry_does_not_wait_for_the_upstream_that_refused(self):
+        """Guards against a task that waits for what it must not use again.
+
+        After the upstream of the own zone had died, tasks waited until their
+        deadline while the upstream of another zone was free.
+        """
+        upstreams = {"near": upstream_state(), "far": upstream_state("breda")}
+        for reason in RetryReason:
+            with self.subTest(reason=reason):
+                driver = Driver(upstreams=upstreams, retry_percent=100)
+                driver.submit("first", tasks=4, run_ms=1000.0, deadline=60.0)
+                starts = driver.starts()
+                near, other, far = starts[0], starts[1], starts[-1]
+                self.assertEqual([near.upstream, far.upstream], ["near", "far"])
+                driver.answer(other)
+                driver.refuse(near, reason)
+                self.assertEqual(driver.starts(), [])
+                # The back-off of the own zone's upstream ends meanwhile.
+                for _ in range(20):
+                    driver.after(0.5)
+                driver.answer(far)
+                self.assertEqual([s.upstream for s in driver.starts()], ["far"])
+
     def test_a_slow_upstream_helps_with_a_long_queue(self):
         """Guards against slow upstreams that stay idle under load."""
         upstreams = {
