--- a/packages/core/carobramp_core/membership/__init__.py
+++ b/packages/core/carobramp_core/membership/__init__.py
@@ -1,13 +1,13 @@
 """Membership decisions: which other entry VMs are live."""
 
-from carobramp_core.membership.view import (
+from carobramp_core.membership.messages import (
     ListSeen,
-    MembershipView,
     PeerStatus,
     StatusHeard,
     Tick,
     Unanswered,
 )
+from carobramp_core.membership.view import MembershipView
 
 __all__ = [
     "ListSeen",
--- a/packages/core/carobramp_core/membership/tests/test_view.py
+++ b/packages/core/carobramp_core/membership/tests/test_view.py
@@ -4,19 +4,17 @@
 import unittest
 
 from carobramp_core.dispatch.messages import PeerLoad
-from carobramp_core.membership.view import (
-    FAR_KNOWN_S,
-    FAR_TURNS,
+from carobramp_core.membership.messages import (
     Appeared,
     Forgotten,
     ListSeen,
-    MembershipView,
     PeerStatus,
     StatusHeard,
     Tick,
     Unanswered,
     WentSilent,
 )
+from carobramp_core.membership.view import FAR_KNOWN_S, FAR_TURNS, MembershipView
 from carobramp_core.platform import VmEntry
 from carobramp_schema.generated.settings import MembershipSettings, PeerAddress
 
--- a/packages/core/carobramp_core/membership/view.py
+++ b/packages/core/carobramp_core/membership/view.py
@@ -12,11 +12,19 @@
 import functools
 
 from carobramp_core.dispatch.messages import PeerLoad, PeersSeen
-from carobramp_core.platform import VmEntry
+from carobramp_core.membership.messages import (
+    Address,
+    Appeared,
+    Forgotten,
+    ListSeen,
+    PeerStatus,
+    StatusHeard,
+    Tick,
+    Unanswered,
+    WentSilent,
+)
 from carobramp_schema.generated.settings import MembershipSettings
 
-Address = tuple[str, int]
-
 MAX_MEMBERS = 1024
 """Candidates kept at most; invented names must not fill the memory."""
 
@@ -31,75 +39,6 @@
 """Every fourth turn in a zone goes to a VM that did not answer, if there is one."""
 
 
-@dataclasses.dataclass(frozen=True)
-class PeerStatus:
-    """Status that a VM stated in a heartbeat.
-
-    `loads` is None when the heartbeat left them out. `zone_peers` is the number of
-    live VMs of its zone, without it. `address` is None when it stated none.
-    """
-
-    vm: str
-    zone: str
-    incarnation: str
-    address: Address | None
-    leaving: bool
-    number: int
-    digest: str
-    heard: int
-    loads: tuple[PeerLoad, ...] | None
-    zone_peers: int
-
-
-@dataclasses.dataclass(frozen=True)
-class StatusHeard:
-    """A heartbeat came from a VM or was answered by it."""
-
-    status: PeerStatus
-
-
-@dataclasses.dataclass(frozen=True)
-class ListSeen:
-    """The platform's list was read; `upstreams` are the names in the state."""
-
-    entries: tuple[VmEntry, ...]
-    upstreams: frozenset[str]
-
-
-@dataclasses.dataclass(frozen=True)
-class Unanswered:
-    """A VM did not answer a heartbeat."""
-
-    vm: str
-
-
-@dataclasses.dataclass(frozen=True)
-class Tick:
-    """Time passed; VMs that have been silent for long are dropped."""
-
-
-@dataclasses.dataclass(frozen=True)
-class Appeared:
-    """A VM became live."""
-
-    vm: str
-
-
-@dataclasses.dataclass(frozen=True)
-class WentSilent:
-    """A VM is no longer live."""
-
-    vm: str
-
-
-@dataclasses.dataclass(frozen=True)
-class Forgotten:
-    """A VM is no longer a candidate."""
-
-    vm: str
-    address: Address | None
-
-
 @dataclasses.dataclass
 class Member:
     """What is known of one other VM."""
--- a/packages/daemon/carobramp_daemon/heartbeats.py
+++ b/packages/daemon/carobramp_daemon/heartbeats.py
@@ -4,7 +4,7 @@
 import re
 
 from carobramp_core.dispatch.messages import PeerLoad
-from carobramp_core.membership.view import PeerStatus
+from carobramp_core.membership.messages import PeerStatus
 from carobramp_core.tickets.rows import MAX_NUMBER
 from carobramp_schema import InvalidInput
 
--- a/packages/daemon/carobramp_daemon/membership.py
+++ b/packages/daemon/carobramp_daemon/membership.py
@@ -9,18 +9,17 @@
 from mode import Service
 
 from carobramp_core.dispatch.messages import PeerLoad, UpstreamsLeaving
-from carobramp_core.membership.view import (
+from carobramp_core.membership.messages import (
     Appeared,
     Forgotten,
     ListSeen,
-    Member,
-    MembershipView,
     PeerStatus,
     StatusHeard,
     Tick,
     Unanswered,
     WentSilent,
 )
+from carobramp_core.membership.view import Member, MembershipView
 from carobramp_core.platform import Unavailable
 from carobramp_daemon.gate import Gate
 from carobramp_daemon.heartbeats import pack_loads, read_status
