--- a/Makefile
+++ b/Makefile
@@ -8,10 +8,10 @@
 
 setup: $(SETUP)
 
-$(SETUP): requirements-dev.lock $(wildcard packages/*/pyproject.toml)
+$(SETUP): requirements-dev.lock $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(PY) -m pip install --quiet --require-hashes -r requirements-dev.lock
-	$(PY) -m pip install --quiet --no-deps --no-build-isolation $(PACKAGES:%=-e packages/%)
+	$(PY) -m pip install --quiet --no-deps --no-build-isolation $(PACKAGES:%=-e packages/%) -e platform
 	touch $(SETUP)
 
 demo: setup
--- /dev/null
+++ b/packages/core/carobramp_core/cells/__init__.py
@@ -0,0 +1,19 @@
+"""Dispatch to leased upstreams: cells, their owners, and the entry of jobs.
+
+Explanation
+===========
+
+A cell is the set of upstreams of one availability zone. One daemon owns a cell: only
+the owner starts and stops tasks there and takes note of their ends, since leases and
+fencing tokens are kept by each upstream. Every daemon is an entry: it holds the open
+requests of its callers and offers their tasks to the owners.
+
+`CellOwner` and `Entry` are state machines without sockets or clocks: they take events
+and the present time and return effects.
+"""
+
+from carobramp_core.cells.claims import ClaimView, decide_claim
+from carobramp_core.cells.entry import Entry
+from carobramp_core.cells.owner import CellOwner
+
+__all__ = ["CellOwner", "ClaimView", "Entry", "decide_claim"]
--- /dev/null
+++ b/packages/core/carobramp_core/cells/entry.py
@@ -0,0 +1,374 @@
+"""Decisions of an entry: offers the tasks of open requests to the owners of cells.
+
+Explanation
+===========
+
+Tasks are first offered to each cell in turn as far as it has room at once, the home
+cell first; what is left waits at the cell with the least waiting work. When the link
+to an owner is lost, its tasks are offered again to the cell's next owner, which knows
+what still runs, or elsewhere as soon as their runs are certainly over.
+"""
+
+import dataclasses
+import functools
+
+from carobramp_core.cells.limits import CellLimits
+from carobramp_core.cells.messages import (
+    Cancel,
+    Completed,
+    Failed,
+    Interrupted,
+    Job,
+    Offer,
+    Outcome,
+    Refused,
+    RefusalReason,
+    Returned,
+    ReturnReason,
+    Room,
+    Started,
+    TaskEnded,
+    TaskResult,
+    ToEntry,
+    ToOwner,
+)
+from carobramp_core.cells.orders import Note
+
+RETRY_AFTER_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobReceived:
+    """A caller has sent a job."""
+
+    job: Job
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerGone:
+    """The caller has closed its connection."""
+
+    job_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnerFound:
+    """A link to the owner of a cell is open."""
+
+    cell: str
+    token: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnerLost:
+    """The link to the owner of a cell is closed; `heard_at` is its last message."""
+
+    cell: str
+    heard_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FromOwner:
+    """A message of the owner of a cell."""
+
+    cell: str
+    message: ToEntry
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryTick:
+    """Time passed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendToOwner:
+    """Send a message to the owner of a cell."""
+
+    cell: str
+    message: ToOwner
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """Answer the caller of a job; given once for each."""
+
+    job_id: str
+    outcome: Outcome
+    age_s: float
+
+
+EntryEvent = (
+    JobReceived | CallerGone | OwnerFound | OwnerLost | FromOwner | EntryTick
+)
+EntryEffect = SendToOwner | Answer | Note
+
+
+@dataclasses.dataclass(slots=True)
+class Lost:
+    """Tasks whose owner was lost; their runs are over at `over_at`."""
+
+    cell: str
+    indexes: set[int]
+    over_at: float
+
+
+@dataclasses.dataclass(slots=True)
+class OpenJob:
+    """A job whose caller waits.
+
+    Parameters
+    ==========
+
+    offered : cells with the tasks that were offered there and not returned
+    tried : cells that had no room since the last round of offers
+    started : whether a task may have started
+    """
+
+    job: Job
+    received_at: float
+    offered: dict[str, set[int]] = dataclasses.field(default_factory=dict)
+    tried: set[str] = dataclasses.field(default_factory=set)
+    avoid: tuple[str, ...] = ()
+    lost: list[Lost] = dataclasses.field(default_factory=list)
+    done: set[int] = dataclasses.field(default_factory=set)
+    failures: dict[int, int] = dataclasses.field(default_factory=dict)
+    started: bool = False
+
+    def committed(self):
+        """Whether a task may have run or may still start."""
+        return self.started or bool(self.lost) or any(self.offered.values())
+
+
+@dataclasses.dataclass(slots=True)
+class Cell:
+    """What an entry knows of a cell whose owner it can reach."""
+
+    token: int
+    free_cpu: int = 0
+    total_cpu: int = 0
+    waiting_s: float = 0.0
+
+    def backlog(self):
+        """Return the waiting time per core, for comparison between cells."""
+        return self.waiting_s / max(1, self.total_cpu)
+
+
+class Entry:
+    """Open requests of one daemon.
+
+    Parameters
+    ==========
+
+    home : availability zone of the daemon; its cell is tried first
+    """
+
+    def __init__(self, home, limits: CellLimits):
+        self.home = home
+        self.limits = limits
+        self.jobs: dict[str, OpenJob] = {}
+        self.cells: dict[str, Cell] = {}
+
+    def handle(self, event: EntryEvent, now: float) -> list[EntryEffect]:
+        """Take an event at time `now` and return the effects to carry out."""
+        effects: list[EntryEffect] = []
+        on_event(event, self, now, effects)
+        return effects
+
+    def cell_order(self, tried):
+        """Return the cells to try, the home cell first, then by free room."""
+        rest = [name for name in self.cells if name not in tried]
+
+        def key(name):
+            return name != self.home, -self.cells[name].free_cpu
+
+        return sorted(rest, key=key)
+
+    def offer(self, state: OpenJob, indexes, now, effects):
+        """Offer tasks to the next cell, or let them wait at the least loaded one."""
+        if not self.cells:
+            self.refuse(state, RefusalReason.NO_OWNER, RETRY_AFTER_S, now, effects)
+            return
+        order = self.cell_order(state.tried)
+        with_room = [
+            name
+            for name in order
+            if name == self.home or self.cells[name].free_cpu >= state.job.cpu
+        ]
+        if with_room:
+            self.send_offer(state, with_room[0], indexes, now, effects)
+            return
+        least = min(self.cells, key=lambda name: self.cells[name].backlog())
+        self.send_offer(state, least, indexes, now, effects, may_wait=True)
+
+    def send_offer(
+        self,
+        state: OpenJob,
+        cell,
+        indexes,
+        now,
+        effects,
+        may_wait=False,
+        resumed=False,
+    ):
+        """Send one offer and note it."""
+        offer = Offer(
+            state.job,
+            tuple(sorted(indexes)),
+            now - state.received_at,
+            may_wait,
+            resumed,
+            state.committed(),
+            state.avoid,
+        )
+        state.offered.setdefault(cell, set()).update(indexes)
+        effects.append(SendToOwner(cell, offer))
+
+    def refuse(self, state: OpenJob, reason, retry_after_s, now, effects):
+        """End a job without a result; say "not run" only if that is certain."""
+        outcome: Outcome = Interrupted(reason)
+        if not state.committed():
+            outcome = Refused(reason, max(RETRY_AFTER_S, retry_after_s))
+        self.end(state, outcome, now, effects)
+
+    def end(self, state: OpenJob, outcome: Outcome, now, effects):
+        """Answer the caller and withdraw what is left at the owners."""
+        del self.jobs[state.job.job_id]
+        for cell, indexes in state.offered.items():
+            if indexes and cell in self.cells:
+                effects.append(SendToOwner(cell, Cancel(state.job.job_id)))
+        age_s = now - state.received_at
+        effects.append(Answer(state.job.job_id, outcome, age_s))
+
+
+@functools.singledispatch
+def on_event(event, entry, now, effects):
+    """Carry out one event."""
+    raise TypeError(f"unknown event {event!r}")
+
+
+@on_event.register
+def _(event: JobReceived, entry: Entry, now, effects):
+    state = OpenJob(event.job, now)
+    entry.jobs[event.job.job_id] = state
+    entry.offer(state, set(range(event.job.tasks)), now, effects)
+
+
+@on_event.register
+def _(event: CallerGone, entry: Entry, now, effects):
+    state = entry.jobs.get(event.job_id)
+    if state is not None:
+        reason = RefusalReason.CALLER_GONE
+        entry.end(state, Interrupted(reason), now, effects)
+
+
+@on_event.register
+def _(event: OwnerFound, entry: Entry, now, effects):
+    entry.cells[event.cell] = Cell(event.token)
+    for state in list(entry.jobs.values()):
+        for lost in [item for item in state.lost if item.cell == event.cell]:
+            state.lost.remove(lost)
+            entry.send_offer(
+                state, event.cell, lost.indexes, now, effects, True, resumed=True
+            )
+
+
+@on_event.register
+def _(event: OwnerLost, entry: Entry, now, effects):
+    if entry.cells.pop(event.cell, None) is None:
+        return
+    over_at = event.heard_at + entry.limits.abandoned_s()
+    count = 0
+    for state in entry.jobs.values():
+        indexes = state.offered.pop(event.cell, None)
+        if indexes:
+            state.lost.append(Lost(event.cell, indexes, over_at))
+            count += 1
+    note = {"cell": event.cell, "jobs": count, "silent_s": now - event.heard_at}
+    effects.append(Note("owner lost", note))
+
+
+@on_event.register
+def _(event: EntryTick, entry: Entry, now, effects):
+    for state in list(entry.jobs.values()):
+        over = [item for item in state.lost if now >= item.over_at]
+        for lost in over:
+            state.lost.remove(lost)
+            state.started = True
+            state.tried.clear()
+            entry.offer(state, lost.indexes, now, effects)
+
+
+@on_event.register
+def _(event: FromOwner, entry: Entry, now, effects):
+    on_message(event.message, event.cell, entry, now, effects)
+
+
+@functools.singledispatch
+def on_message(message, cell, entry, now, effects):
+    """Carry out one message of an owner."""
+    raise TypeError(f"unknown message {message!r}")
+
+
+@on_message.register
+def _(message: Room, cell, entry: Entry, now, effects):
+    known = entry.cells.get(cell)
+    if known is not None:
+        known.free_cpu = message.free_cpu
+        known.total_cpu = message.total_cpu
+        known.waiting_s = message.waiting_s
+
+
+@on_message.register
+def _(message: Started, cell, entry: Entry, now, effects):
+    state = entry.jobs.get(message.job_id)
+    if state is not None:
+        state.started = True
+
+
+@on_message.register
+def _(message: Returned, cell, entry: Entry, now, effects):
+    state = entry.jobs.get(message.job_id)
+    if state is None:
+        return
+    offered = state.offered.get(cell, set())
+    offered.difference_update(message.indexes)
+    if message.reason == ReturnReason.SUPERSEDED:
+        state.started = True
+        entry.refuse(state, RefusalReason.INTERRUPTED, 0.0, now, effects)
+        return
+    if message.reason == ReturnReason.OVERLOADED:
+        reason = RefusalReason.OVERLOADED
+        entry.refuse(state, reason, message.retry_after_s, now, effects)
+        return
+    if message.reason == ReturnReason.NO_SERVICE and not entry.cell_order(
+        state.tried | {cell}
+    ):
+        reason = RefusalReason.NO_SERVICE
+        entry.refuse(state, reason, message.retry_after_s, now, effects)
+        return
+    state.tried.add(cell)
+    entry.offer(state, set(message.indexes), now, effects)
+
+
+@on_message.register
+def _(message: TaskEnded, cell, entry: Entry, now, effects):
+    state = entry.jobs.get(message.job_id)
+    if state is None:
+        return
+    state.started = True
+    state.offered.get(cell, set()).discard(message.index)
+    if message.result == TaskResult.DONE:
+        state.done.add(message.index)
+        if len(state.done) == state.job.tasks:
+            entry.end(state, Completed(), now, effects)
+        return
+    if message.result == TaskResult.FAILED:
+        failures = state.failures.get(message.index, 0) + 1
+        state.failures[message.index] = failures
+        if failures >= state.job.max_attempts:
+            entry.end(state, Failed(), now, effects)
+            return
+        if message.upstream not in state.avoid:
+            state.avoid += (message.upstream,)
+    state.tried.clear()
+    entry.offer(state, {message.index}, now, effects)
--- /dev/null
+++ b/packages/core/carobramp_core/cells/limits.py
@@ -0,0 +1,55 @@
+"""Time limits of cells, in seconds unless the name says otherwise."""
+
+import dataclasses
+
+# A clock of an upstream may be this much slow, as the platform states.
+CLOCK_DRIFT = 0.02
+# Rounding of clocks to whole milliseconds, on both sides.
+CLOCK_ROUNDING_S = 0.004
+
+
+@dataclasses.dataclass(frozen=True)
+class CellLimits:
+    """Limits of leases, orders and links.
+
+    Parameters
+    ==========
+
+    lease_s : time for which a hold or start lets runs go on; the platform shortens
+        longer leases
+    hold_wait_s : longest wait of a hold order; a third of the lease, so that a lost
+        answer is followed by another hold within the lease
+    order_timeout_s : longest wait for the answer of an order; starts take 5 ms at
+        the 95th percentile
+    hold_margin_s : time beyond `hold_wait_s` until a hold counts as unanswered;
+        two unanswered holds in a row must fit into the lease
+    stop_s : time that an upstream takes to stop a run
+    link_silence_s : silence after which a link between entry and owner is closed;
+        four heartbeats
+    heartbeat_s : time between heartbeats on a link
+    orphan_s : time after a takeover in which entries claim runs that go on;
+        unclaimed ones are stopped before a caller may send the job again
+    resend_s : time after which a caller without an answer sends its job again
+    """
+
+    lease_s: float = 1.0
+    hold_wait_s: float = 0.3
+    order_timeout_s: float = 0.12
+    hold_margin_s: float = 0.15
+    stop_s: float = 0.05
+    link_silence_s: float = 0.4
+    heartbeat_s: float = 0.1
+    orphan_s: float = 0.3
+    resend_s: float = 1.3
+
+    def lapse_s(self) -> float:
+        """Return the time after its last renewal at which a lease has ended."""
+        return self.lease_s / (1 - CLOCK_DRIFT) + CLOCK_ROUNDING_S
+
+    def abandoned_s(self) -> float:
+        """Return the time after a link's last message by which its runs are over.
+
+        The owner notices the silence and stops the runs, or has died with them
+        renewed at that moment.
+        """
+        return self.link_silence_s + self.lapse_s() + self.stop_s
--- /dev/null
+++ b/packages/core/carobramp_core/cells/messages.py
@@ -0,0 +1,187 @@
+"""Messages between entries and owners, and the outcomes of jobs."""
+
+import dataclasses
+import enum
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Job:
+    """A job of equal tasks whose caller waits for its end.
+
+    Parameters
+    ==========
+
+    job_id : id that the caller chose
+    spec : what the tasks run, opaque to the dispatcher
+    service : service whose upstreams run the tasks
+    queue : name of the route; run times are learned for each
+    tasks : number of tasks
+    cpu, memory_mb, accelerators : what each task occupies; `cpu` in thousandths
+    estimate_ms : declared run time of a task, often wrong
+    priority : 0 goes first
+    stretch, target_ms : the objective is `stretch` times the run time of the
+        longest task plus `target_ms`
+    max_attempts : failed runs of one task after which the job has failed
+    """
+
+    job_id: str
+    spec: str
+    service: str
+    queue: str
+    tasks: int
+    cpu: int
+    memory_mb: int = 0
+    accelerators: int = 0
+    estimate_ms: float = 0.0
+    priority: int = 0
+    stretch: float = 1.0
+    target_ms: float = 0.0
+    max_attempts: int = 1
+
+    def objective_s(self, run_ms) -> float:
+        """Return the response time in seconds up to which the job is on time."""
+        return (self.stretch * run_ms + self.target_ms) / 1000
+
+
+class ReturnReason(enum.StrEnum):
+    """Why an owner returned tasks; none of them is running then."""
+
+    NO_ROOM = "no_room"
+    OVERLOADED = "overloaded"
+    ELSEWHERE = "elsewhere"
+    NO_SERVICE = "no_service"
+    SUPERSEDED = "superseded"
+
+
+class TaskResult(enum.StrEnum):
+    """How a task ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    LOST = "lost"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Offer:
+    """Tasks of a job that an entry offers to an owner.
+
+    Parameters
+    ==========
+
+    age_s : time since the entry received the job
+    may_wait : whether tasks without room may wait at the owner; otherwise they are
+        returned at once
+    resumed : whether an earlier owner of the cell, or an earlier link, may have
+        started the tasks
+    committed : whether other tasks of the job may have run, so that the job can no
+        longer be refused
+    avoid : upstreams on which tasks of the job have failed
+    """
+
+    job: Job
+    indexes: tuple[int, ...]
+    age_s: float = 0.0
+    may_wait: bool = False
+    resumed: bool = False
+    committed: bool = False
+    avoid: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancel:
+    """The entry no longer needs a job."""
+
+    job_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Returned:
+    """Tasks that the owner gives back; they are not running.
+
+    `retry_after_s` is the owner's estimate of the time until it has room.
+    """
+
+    job_id: str
+    indexes: tuple[int, ...]
+    reason: ReturnReason
+    retry_after_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Started:
+    """An upstream has begun tasks of a job."""
+
+    job_id: str
+    indexes: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskEnded:
+    """A task has ended."""
+
+    job_id: str
+    index: int
+    result: TaskResult
+    upstream: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Room:
+    """State of a cell, sent with each heartbeat of its owner.
+
+    `free_cpu` and `total_cpu` are in thousandths of a core; `waiting_s` is the
+    waiting work in core-seconds.
+    """
+
+    cell: str
+    token: int
+    free_cpu: int
+    total_cpu: int
+    waiting_s: float
+
+
+ToOwner = Offer | Cancel
+ToEntry = Returned | Started | TaskEnded | Room
+
+
+class RefusalReason(enum.StrEnum):
+    """Why an entry answered a request without the end of its job."""
+
+    OVERLOADED = "overloaded"
+    NO_OWNER = "no_owner"
+    NO_SERVICE = "no_service"
+    TIMED_OUT = "timed_out"
+    INTERRUPTED = "interrupted"
+    CALLER_GONE = "caller_gone"
+    UNKNOWN_ROUTE = "unknown_route"
+    NOT_READY = "not_ready"
+    MALFORMED = "malformed"
+    UNSUPPORTED = "unsupported"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Completed:
+    """All tasks are done."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """A task has failed as often as its queue allows."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """No task of the job has run or will run."""
+
+    reason: RefusalReason
+    retry_after_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Interrupted:
+    """The job has no result; some of its tasks may have run."""
+
+    reason: RefusalReason
+
+
+Outcome = Completed | Failed | Refused | Interrupted
--- /dev/null
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -0,0 +1,709 @@
+"""Decisions of the owner of a cell: events in, orders and messages out.
+
+Explanation
+===========
+
+A run occupies room from its start order until its end is certain: the upstream lists
+the end, a listing asked for after the order settled lacks the run, or the lease has
+lapsed. An order without an answer is never taken for one that was not carried out.
+"""
+
+import dataclasses
+import functools
+
+from carobramp_core.cells.limits import CellLimits
+from carobramp_core.cells.messages import (
+    Cancel,
+    Offer,
+    Returned,
+    ReturnReason,
+    Room,
+    Started,
+    TaskEnded,
+    TaskResult,
+)
+from carobramp_core.cells.orders import (
+    Accepted,
+    Deposed,
+    EndKind,
+    EntryLost,
+    FromEntry,
+    HoldAnswered,
+    HoldOrder,
+    Listed,
+    Listing,
+    NoAnswer,
+    Note,
+    OwnerEffect,
+    OwnerEvent,
+    Refusal,
+    Rejected,
+    RunId,
+    Send,
+    StartAnswered,
+    StartOrder,
+    StopAnswered,
+    StopOrder,
+    Tick,
+)
+from carobramp_core.cells.placement import (
+    Waiting,
+    choose_upstream,
+    delay_s,
+    is_hopeless,
+    order_key,
+)
+from carobramp_core.cells.upstreams import Run, RunPhase, Upstream
+from carobramp_core.dispatch.runtimes import RunTimes
+
+DEFAULT_RUN_MS = 200.0
+# Runs of one owner are numbered within its token, so that every run of a later
+# owner has a higher number than those of earlier ones.
+RUNS_PER_TOKEN = 1 << 24
+# Results of runs that nobody waited for, kept for entries that ask after a takeover.
+KEPT_RESULTS_S = 3.0
+# Waiting tasks that one pass tries to place; the rest has less to lose.
+PLACED_PER_PASS = 64
+RETRY_AFTER_MIN_S = 0.5
+MS = 1000
+
+
+class CellOwner:
+    """State of a cell at its owner.
+
+    Parameters
+    ==========
+
+    cell : availability zone of the upstreams
+    token : fencing token of this ownership, higher than all earlier ones
+    taken_over : whether an earlier owner may have left runs behind
+    """
+
+    def __init__(self, cell, token, limits: CellLimits, now, taken_over=True):
+        self.cell = cell
+        self.token = token
+        self.limits = limits
+        self.since = now
+        self.taken_over = taken_over
+        self.run_number = token * RUNS_PER_TOKEN
+        self.upstreams: dict[str, Upstream] = {}
+        self.services: dict[str, list[Upstream]] = {}
+        self.waiting: list[Waiting] = []
+        # Offers of tasks that an earlier owner may have started.
+        self.resuming: list[tuple[str, Offer, float]] = []
+        self.runs: dict[tuple[str, int], Run] = {}
+        self.job_runs: dict[str, set[Run]] = {}
+        self.entries: dict[str, str] = {}
+        self.results: dict[tuple[str, int], tuple[TaskResult, str, float]] = {}
+        self.run_times: dict[str, RunTimes] = {}
+        self.deposed = False
+
+    def handle(self, event: OwnerEvent, now: float) -> list[OwnerEffect]:
+        """Take an event at time `now` and return the effects to carry out."""
+        effects: list[OwnerEffect] = []
+        on_event(event, self, now, effects)
+        self.place(now, effects)
+        return effects
+
+    # Upstreams
+
+    def next_hold(self, name, now, wait=True) -> HoldOrder | None:
+        """Return the next hold order of an upstream, or None if it is gone.
+
+        An upstream that did not answer is asked without a renewal, so that its
+        runs certainly end when the lease does.
+        """
+        upstream = self.upstreams.get(name)
+        if upstream is None or self.deposed:
+            return None
+        deadline = None
+        if upstream.answered and not upstream.suspect:
+            deadline = upstream.deadline_ms(now)
+            upstream.granted(deadline)
+        wait_s = self.limits.hold_wait_s if deadline is not None and wait else 0.0
+        return HoldOrder(
+            upstream=name,
+            address=upstream.listed.address,
+            token=self.token,
+            acknowledged=upstream.acknowledged,
+            deadline_ms=deadline,
+            wait_ms=int(wait_s * MS),
+            timeout_s=wait_s + self.limits.hold_margin_s,
+        )
+
+    def drop_upstream(self, upstream: Upstream, now, effects):
+        """Forget an upstream that is gone, with its runs."""
+        for run in list(upstream.runs.values()):
+            self.finish(run, TaskResult.LOST, now, effects)
+        self.upstreams.pop(upstream.name, None)
+        self.index_services()
+
+    def index_services(self):
+        """Group the upstreams by service."""
+        self.services = {}
+        for upstream in self.upstreams.values():
+            self.services.setdefault(upstream.listed.service, []).append(upstream)
+
+    # Runs
+
+    def times(self, queue) -> RunTimes:
+        """Return the learned run times of a queue."""
+        if queue not in self.run_times:
+            self.run_times[queue] = RunTimes(DEFAULT_RUN_MS)
+        return self.run_times[queue]
+
+    def start(self, task: Waiting, upstream: Upstream, now, effects):
+        """Order an upstream to start a task."""
+        self.run_number += 1
+        run_id = RunId(task.job.job_id, task.index, self.run_number)
+        run = Run(
+            run_id,
+            upstream.name,
+            task.job,
+            task.entry,
+            started_at=now,
+            expected_s=task.expected_s,
+            received_at=task.received_at,
+        )
+        upstream.add(run)
+        self.track(run)
+        deadline = upstream.deadline_ms(now)
+        upstream.granted(deadline)
+        effects.append(
+            StartOrder(
+                upstream=upstream.name,
+                address=upstream.listed.address,
+                token=self.token,
+                run_id=run_id,
+                spec=task.job.spec,
+                deadline_ms=deadline,
+                timeout_s=self.limits.order_timeout_s,
+            )
+        )
+
+    def track(self, run: Run):
+        """Index a run by its task and job."""
+        self.runs[run.run_id.job_id, run.run_id.index] = run
+        self.job_runs.setdefault(run.run_id.job_id, set()).add(run)
+
+    def untrack(self, run: Run):
+        """Remove a run from the indexes and from its upstream."""
+        key = run.run_id.job_id, run.run_id.index
+        if self.runs.get(key) is run:
+            del self.runs[key]
+        siblings = self.job_runs.get(run.run_id.job_id)
+        if siblings is not None:
+            siblings.discard(run)
+            if not siblings:
+                del self.job_runs[run.run_id.job_id]
+        upstream = self.upstreams.get(run.upstream)
+        if upstream is not None:
+            upstream.remove(run)
+
+    def finish(self, run: Run, result: TaskResult, now, effects):
+        """A run is over: report it, or let its task wait again."""
+        self.untrack(run)
+        key = run.run_id.job_id, run.run_id.index
+        if run.entry is None or run.job is None:
+            self.results[key] = (result, run.upstream, now)
+            return
+        if run.requeue and result == TaskResult.LOST:
+            run.requeue = False
+            self.enqueue(run.job, run.run_id.index, run.entry, run.received_at, ())
+            return
+        ended = TaskEnded(run.run_id.job_id, run.run_id.index, result, run.upstream)
+        effects.append(Send(run.entry, ended))
+
+    def stop(self, run: Run, now, effects):
+        """Order the stop of a run; its room stays occupied until it is over."""
+        upstream = self.upstreams.get(run.upstream)
+        if upstream is None:
+            return
+        run.phase = RunPhase.STOPPING
+        run.stop_sent_at = now
+        effects.append(
+            StopOrder(
+                upstream=run.upstream,
+                address=upstream.listed.address,
+                token=self.token,
+                run_id=run.run_id,
+                timeout_s=self.limits.order_timeout_s,
+            )
+        )
+
+    # Tasks
+
+    def enqueue(self, job, index, entry, received_at, avoid):
+        """Let a task wait for room."""
+        expected_s = self.times(job.queue).expected_ms(job.estimate_ms) / MS
+        task = Waiting(job, index, entry, received_at, expected_s, avoid)
+        self.waiting.append(task)
+        return task
+
+    def place(self, now, effects):
+        """Start waiting tasks, the most urgent first."""
+        if not self.waiting or self.deposed:
+            return
+        self.waiting.sort(key=lambda task: order_key(task, now))
+        left, started, tried = [], {}, 0
+        full: set[tuple] = set()
+        for task in self.waiting:
+            size = (task.job.service, task.job.cpu, task.job.memory_mb, task.avoid)
+            upstream = None
+            if size not in full and tried < PLACED_PER_PASS:
+                tried += 1
+                members = self.services.get(task.job.service, ())
+                upstream = choose_upstream(task, members, now)
+                if upstream is None:
+                    full.add(size)
+            if upstream is None:
+                left.append(task)
+                continue
+            self.start(task, upstream, now, effects)
+            started.setdefault((task.entry, task.job.job_id), []).append(task.index)
+        self.waiting = left
+        for (entry, job_id), indexes in started.items():
+            effects.append(Send(entry, Started(job_id, tuple(indexes))))
+
+    def take_offer(self, entry, offer: Offer, now, effects):
+        """Take over the tasks of an offer, or return them."""
+        job = offer.job
+        self.supersede(entry, job.job_id, effects)
+        self.entries[job.job_id] = entry
+        received_at = now - offer.age_s
+        fresh = []
+        for index in offer.indexes:
+            if not self.attach(entry, job, index, received_at, effects):
+                fresh.append(index)
+        self.waiting = [
+            w
+            for w in self.waiting
+            if w.job.job_id != job.job_id or w.index not in fresh
+        ]
+        if not fresh:
+            return
+        if offer.resumed and not self.settled(now):
+            rest = dataclasses.replace(offer, indexes=tuple(fresh))
+            self.resuming.append((entry, rest, received_at))
+            return
+        self.admit(entry, offer, fresh, received_at, now, effects)
+
+    def admit(self, entry, offer: Offer, indexes, received_at, now, effects):
+        """Queue tasks; return those without room or without use."""
+        job = offer.job
+        members = self.services.get(job.service, ())
+        if not members:
+            reason = ReturnReason.NO_SERVICE
+            effects.append(Send(entry, Returned(job.job_id, tuple(indexes), reason)))
+            return
+        tasks = [
+            self.enqueue(job, index, entry, received_at, offer.avoid)
+            for index in indexes
+        ]
+        if offer.committed and offer.may_wait:
+            return
+        if offer.may_wait:
+            self.refuse_hopeless(tasks, now, effects)
+            return
+        self.place(now, effects)
+        self.give_back([t for t in tasks if t in self.waiting], now, effects)
+
+    def refuse_hopeless(self, tasks, now, effects):
+        """Return the tasks of a job that would end too late to be of use."""
+        first = tasks[0]
+        key = order_key(first, now)
+        ahead = [w for w in self.waiting if w not in tasks and order_key(w, now) < key]
+        delay = delay_s(ahead, self.total_cpu(first.job.service, now))
+        if is_hopeless(first, now + delay):
+            self.give_back(tasks, now, effects, ReturnReason.OVERLOADED, delay)
+
+    def give_back(self, tasks, now, effects, reason=ReturnReason.NO_ROOM, delay=0.0):
+        """Return waiting tasks of one job to its entry."""
+        if not tasks:
+            return
+        self.waiting = [task for task in self.waiting if task not in tasks]
+        job_id, entry = tasks[0].job.job_id, tasks[0].entry
+        indexes = tuple(task.index for task in tasks)
+        retry_after = max(RETRY_AFTER_MIN_S, delay)
+        effects.append(Send(entry, Returned(job_id, indexes, reason, retry_after)))
+
+    def total_cpu(self, service, now):
+        """Return the cores of the usable upstreams of a service, in thousandths."""
+        members = self.services.get(service, ())
+        return sum(u.listed.cpu for u in members if u.answered and not u.suspect)
+
+    def supersede(self, entry, job_id, effects):
+        """Tell an earlier entry that its caller has asked again elsewhere."""
+        earlier = self.entries.get(job_id)
+        if earlier is None or earlier == entry:
+            return
+        self.waiting = [w for w in self.waiting if w.job.job_id != job_id]
+        reason = ReturnReason.SUPERSEDED
+        effects.append(Send(earlier, Returned(job_id, (), reason)))
+
+    def attach(self, entry, job, index, received_at, effects) -> bool:
+        """Tie a run or a result that is already there to an offered task."""
+        run = self.runs.get((job.job_id, index))
+        if run is not None:
+            upstream = self.upstreams[run.upstream]
+            if run.job is None:
+                run.expected_s = self.times(job.queue).expected_ms(job.estimate_ms) / MS
+            upstream.claim(run, job, entry)
+            run.received_at = received_at
+            run.requeue = run.phase in (RunPhase.STOPPING, RunPhase.UNKNOWN)
+            return True
+        kept = self.results.get((job.job_id, index))
+        if kept is not None and kept[0] == TaskResult.DONE:
+            effects.append(Send(entry, TaskEnded(job.job_id, index, kept[0], kept[1])))
+            return True
+        return False
+
+    def settled(self, now) -> bool:
+        """Whether every run of an earlier owner is known or over."""
+        if not self.taken_over:
+            return True
+        if now - self.since > self.limits.lapse_s():
+            return True
+        return bool(self.upstreams) and all(
+            upstream.answered for upstream in self.upstreams.values()
+        )
+
+    def resume(self, now, effects):
+        """Admit the resumed offers once earlier runs are known."""
+        if not self.resuming or not self.settled(now):
+            return
+        resuming, self.resuming = self.resuming, []
+        for entry, offer, received_at in resuming:
+            fresh = [
+                index
+                for index in offer.indexes
+                if not self.attach(entry, offer.job, index, received_at, effects)
+            ]
+            if fresh:
+                self.admit(entry, offer, fresh, received_at, now, effects)
+
+    def release(self, job_id, now, effects):
+        """Stop what runs and forget what waits of a job that nobody waits for."""
+        self.entries.pop(job_id, None)
+        self.waiting = [w for w in self.waiting if w.job.job_id != job_id]
+        self.resuming = [r for r in self.resuming if r[1].job.job_id != job_id]
+        for run in list(self.job_runs.get(job_id, ())):
+            run.entry = None
+            run.requeue = False
+            if run.phase != RunPhase.STOPPING:
+                self.stop(run, now, effects)
+
+    def room(self, now) -> Room:
+        """Return the state of the cell for the entries."""
+        free = sum(u.free_cpu(now) for u in self.upstreams.values())
+        total = sum(u.listed.cpu for u in self.upstreams.values() if u.usable(now))
+        work = sum(task.core_s() for task in self.waiting)
+        return Room(self.cell, self.token, free, total, work)
+
+
+@functools.singledispatch
+def on_event(event, owner, now, effects):
+    """Carry out one event."""
+    raise TypeError(f"unknown event {event!r}")
+
+
+@on_event.register
+def _(event: FromEntry, owner: CellOwner, now, effects):
+    on_message(event.message, event.entry, owner, now, effects)
+
+
+@functools.singledispatch
+def on_message(message, entry, owner, now, effects):
+    """Carry out one message of an entry."""
+    raise TypeError(f"unknown message {message!r}")
+
+
+@on_message.register
+def _(message: Offer, entry, owner: CellOwner, now, effects):
+    owner.take_offer(entry, message, now, effects)
+
+
+@on_message.register
+def _(message: Cancel, entry, owner: CellOwner, now, effects):
+    if owner.entries.get(message.job_id) == entry:
+        owner.release(message.job_id, now, effects)
+
+
+@on_event.register
+def _(event: EntryLost, owner: CellOwner, now, effects):
+    lost = [job for job, entry in owner.entries.items() if entry == event.entry]
+    for job_id in lost:
+        owner.release(job_id, now, effects)
+    note = {"entry": event.entry, "jobs": len(lost)}
+    effects.append(Note("entry lost, its runs are stopped", note))
+
+
+@on_event.register
+def _(event: Listed, owner: CellOwner, now, effects):
+    listed = {upstream.name: upstream for upstream in event.upstreams}
+    for name, item in listed.items():
+        upstream = owner.upstreams.get(name)
+        if upstream is None:
+            owner.upstreams[name] = Upstream(item, owner.limits, now)
+            note = {"upstream": name, "state": item.state}
+            effects.append(Note("upstream listed", note))
+            continue
+        if upstream.listed.state != item.state:
+            note = {"upstream": name, "state": item.state}
+            effects.append(Note("upstream changed its state", note))
+        upstream.listed = item
+        upstream.missing_since = None
+    for upstream in owner.upstreams.values():
+        if upstream.name not in listed and upstream.missing_since is None:
+            upstream.missing_since = now
+    owner.index_services()
+
+
+@on_event.register
+def _(event: HoldAnswered, owner: CellOwner, now, effects):
+    upstream = owner.upstreams.get(event.order.upstream)
+    if upstream is None or owner.deposed:
+        return
+    on_hold(event.outcome, upstream, owner, event, now, effects)
+    owner.resume(now, effects)
+
+
+@functools.singledispatch
+def on_hold(outcome, upstream, owner, event, now, effects):
+    """Take the outcome of a hold order."""
+    raise TypeError(f"unknown outcome {outcome!r}")
+
+
+@on_hold.register
+def _(outcome: Listing, upstream: Upstream, owner: CellOwner, event, now, effects):
+    upstream.heard(outcome.clock_ms, now)
+    if not upstream.answered or upstream.suspect:
+        note = {"upstream": upstream.name, "born_ms": outcome.born_ms}
+        effects.append(Note("upstream answers", note))
+    upstream.answered = True
+    upstream.suspect = False
+    upstream.unanswered_since = None
+    if outcome.born_ms != upstream.born_ms:
+        for run in upstream.reborn(outcome.born_ms):
+            owner.finish(run, TaskResult.LOST, now, effects)
+    for end in outcome.ended:
+        take_end(end, upstream, owner, now, effects)
+    listed = {entry.run_id: entry for entry in outcome.running}
+    for entry in outcome.running:
+        if entry.run_id not in upstream.runs:
+            adopt(entry, upstream, owner, now, effects)
+    for run in list(upstream.runs.values()):
+        compare(run, listed.get(run.run_id), owner, event.sent_at, now, effects)
+
+
+def take_end(end, upstream: Upstream, owner: CellOwner, now, effects):
+    """Take note of one listed end."""
+    if end.number <= upstream.acknowledged:
+        return
+    upstream.acknowledged = end.number
+    run = upstream.runs.get(end.run_id)
+    if run is None:
+        key = end.run_id.job_id, end.run_id.index
+        if end.kind == EndKind.DONE:
+            owner.results[key] = (TaskResult.DONE, upstream.name, now)
+        return
+    learn(end, run, upstream, owner, now, effects)
+    result = {EndKind.DONE: TaskResult.DONE, EndKind.FAILED: TaskResult.FAILED}
+    owner.finish(run, result.get(end.kind, TaskResult.LOST), now, effects)
+
+
+def learn(end, run: Run, upstream: Upstream, owner: CellOwner, now, effects):
+    """Learn run times, speeds and failures from an end."""
+    if end.kind == EndKind.FAILED:
+        elsewhere = any(
+            upstream is not other and run.run_id.job_id in other.failed_jobs
+            for other in owner.upstreams.values()
+        )
+        if not elsewhere and upstream.failed(run.run_id.job_id, now):
+            note = {"upstream": upstream.name, "seconds": upstream.quarantine_s}
+            effects.append(Note("upstream quarantined after failures", note))
+    if end.kind != EndKind.DONE or run.job is None or not run.expected_s:
+        return
+    upstream.succeeded()
+    elapsed_s = max(0.001, now - run.started_at)
+    upstream.learn_speed(run.expected_s / elapsed_s)
+    work_ms = elapsed_s * MS * upstream.relative_speed()
+    owner.times(run.job.queue).learn(run.job.estimate_ms, work_ms)
+
+
+def adopt(entry, upstream: Upstream, owner: CellOwner, now, effects):
+    """Keep a run of an earlier owner until an entry claims it."""
+    run = Run(entry.run_id, upstream.name, None, None, started_at=now)
+    run.phase = RunPhase.RUNNING
+    upstream.add(run)
+    if (run.run_id.job_id, run.run_id.index) in owner.runs:
+        owner.stop(run, now, effects)
+        return
+    owner.track(run)
+
+
+def compare(run: Run, listed, owner: CellOwner, asked_at, now, effects):
+    """Compare a run with a listing that was asked for at `asked_at`."""
+    if listed is not None:
+        run.percent = listed.percent
+        if run.phase in (RunPhase.STARTING, RunPhase.UNKNOWN):
+            run.phase = RunPhase.RUNNING
+            run.settled_at = now
+            run.requeue = False
+        elif run.phase == RunPhase.STOPPING:
+            overdue = now - run.stop_sent_at > owner.limits.order_timeout_s
+            if overdue:
+                owner.stop(run, now, effects)
+        return
+    if asked_at < min(run.settled_at, run.started_at + owner.limits.lapse_s()):
+        unsettled = run.phase in (RunPhase.UNKNOWN, RunPhase.STOPPING)
+        if unsettled and asked_at > run.stop_sent_at and run.settled_at > now:
+            owner.stop(run, now, effects)
+        return
+    owner.finish(run, TaskResult.LOST, now, effects)
+
+
+@on_hold.register
+def _(outcome: NoAnswer, upstream: Upstream, owner: CellOwner, event, now, effects):
+    if not upstream.suspect:
+        note = {"upstream": upstream.name, "detail": outcome.detail}
+        effects.append(Note("upstream does not answer", note))
+        upstream.suspect = True
+        upstream.unanswered_since = now
+
+
+@on_hold.register
+def _(outcome: Rejected, upstream: Upstream, owner: CellOwner, event, now, effects):
+    if outcome.refusal == Refusal.FENCED:
+        depose(owner, upstream, effects)
+        return
+    upstream.suspect = True
+    note = {"upstream": upstream.name, "refusal": outcome.refusal}
+    effects.append(Note("upstream refuses to be held", note))
+
+
+def depose(owner: CellOwner, upstream, effects):
+    """Give the cell up: an upstream has seen a higher token."""
+    if not owner.deposed:
+        owner.deposed = True
+        effects.append(Deposed(upstream.name))
+
+
+@on_event.register
+def _(event: StartAnswered, owner: CellOwner, now, effects):
+    upstream = owner.upstreams.get(event.order.upstream)
+    run = upstream.runs.get(event.order.run_id) if upstream else None
+    if run is None or run.phase == RunPhase.RUNNING:
+        return
+    on_start(event.outcome, run, upstream, owner, now, effects)
+
+
+@functools.singledispatch
+def on_start(outcome, run, upstream, owner, now, effects):
+    """Take the outcome of a start order."""
+    raise TypeError(f"unknown outcome {outcome!r}")
+
+
+@on_start.register
+def _(outcome: Accepted, run: Run, upstream, owner: CellOwner, now, effects):
+    if run.phase == RunPhase.STARTING:
+        run.phase = RunPhase.RUNNING
+    run.settled_at = now
+
+
+@on_start.register
+def _(outcome: Rejected, run: Run, upstream, owner: CellOwner, now, effects):
+    if outcome.refusal == Refusal.FENCED:
+        depose(owner, upstream, effects)
+        return
+    if outcome.refusal in (Refusal.NO_ROOM, Refusal.UNHEALTHY):
+        upstream.no_room(now)
+    note = {
+        "upstream": upstream.name,
+        "job_id": run.run_id.job_id,
+        "index": run.run_id.index,
+        "refusal": outcome.refusal,
+    }
+    effects.append(Note("start refused", note))
+    if outcome.refusal == Refusal.INVALID:
+        owner.finish(run, TaskResult.FAILED, now, effects)
+        return
+    run.requeue = run.entry is not None
+    owner.finish(run, TaskResult.LOST, now, effects)
+
+
+@on_start.register
+def _(outcome: NoAnswer, run: Run, upstream: Upstream, owner: CellOwner, now, effects):
+    if run.phase == RunPhase.STARTING:
+        run.phase = RunPhase.UNKNOWN
+        run.requeue = run.entry is not None
+        run.stop_sent_at = now
+    upstream.no_room(now)
+    note = {
+        "upstream": upstream.name,
+        "job_id": run.run_id.job_id,
+        "index": run.run_id.index,
+        "detail": outcome.detail,
+    }
+    effects.append(Note("start not answered", note))
+
+
+@on_event.register
+def _(event: StopAnswered, owner: CellOwner, now, effects):
+    upstream = owner.upstreams.get(event.order.upstream)
+    run = upstream.runs.get(event.order.run_id) if upstream else None
+    if run is None:
+        return
+    if isinstance(event.outcome, Accepted):
+        run.settled_at = min(run.settled_at, now)
+    elif isinstance(event.outcome, Rejected):
+        if event.outcome.refusal == Refusal.FENCED:
+            depose(owner, upstream, effects)
+    else:
+        run.stop_sent_at = now
+
+
+@on_event.register
+def _(event: Tick, owner: CellOwner, now, effects):
+    for upstream in list(owner.upstreams.values()):
+        if upstream.suspect and upstream.runs and now > upstream.leased_until:
+            note = {"upstream": upstream.name, "runs": len(upstream.runs)}
+            effects.append(Note("lease lapsed, its runs are over", note))
+            for run in list(upstream.runs.values()):
+                owner.finish(run, TaskResult.LOST, now, effects)
+        if gone(upstream, now):
+            effects.append(Note("upstream gone", {"upstream": upstream.name}))
+            owner.drop_upstream(upstream, now, effects)
+            continue
+        for run in list(upstream.runs.values()):
+            if run.job is None and now - run.started_at > owner.limits.orphan_s:
+                if run.phase != RunPhase.STOPPING:
+                    owner.stop(run, now, effects)
+    expire(owner, now, effects)
+    owner.resume(now, effects)
+
+
+def gone(upstream: Upstream, now) -> bool:
+    """Whether an upstream is neither listed nor answering, and its lease is over."""
+    return (
+        upstream.missing_since is not None
+        and upstream.suspect
+        and not upstream.runs
+        and now > upstream.leased_until
+    )
+
+
+def expire(owner: CellOwner, now, effects):
+    """Return what has become useless and forget old results."""
+    hopeless: dict[str, list[Waiting]] = {}
+    for task in owner.waiting:
+        if is_hopeless(task, now) and task.job.job_id not in owner.job_runs:
+            hopeless.setdefault(task.job.job_id, []).append(task)
+    for tasks in hopeless.values():
+        owner.give_back(tasks, now, effects, ReturnReason.OVERLOADED)
+    active = {task.job.job_id for task in owner.waiting}
+    active.update(offer.job.job_id for _, offer, _ in owner.resuming)
+    active.update(owner.job_runs)
+    owner.entries = {k: v for k, v in owner.entries.items() if k in active}
+    oldest = now - KEPT_RESULTS_S
+    owner.results = {k: v for k, v in owner.results.items() if v[2] > oldest}
--- /dev/null
+++ b/packages/core/carobramp_core/cells/ports.py
@@ -0,0 +1,48 @@
+"""Interfaces through which cells reach upstreams and the platform."""
+
+from typing import Protocol
+
+from carobramp_core.cells.orders import (
+    HoldOrder,
+    HoldOutcome,
+    ListedUpstream,
+    StartOrder,
+    StartOutcome,
+    StopOrder,
+)
+from carobramp_core.platform import Committed, Conflict, Row, Transaction, Unavailable
+
+
+class UpstreamOrders(Protocol):
+    """Sends orders to upstreams, each once; no layer repeats one."""
+
+    async def start(self, order: StartOrder) -> StartOutcome:
+        """Start a run."""
+
+    async def stop(self, order: StopOrder) -> StartOutcome:
+        """Stop a run."""
+
+    async def hold(self, order: HoldOrder) -> HoldOutcome:
+        """Renew a lease and list the runs."""
+
+
+class UpstreamList(Protocol):
+    """The platform's list of upstreams, which may lag."""
+
+    async def read(self) -> tuple[ListedUpstream, ...] | Unavailable:
+        """Return all upstreams."""
+
+
+class FleetTable(Protocol):
+    """Rows about the daemons and the owners of cells."""
+
+    def rows(self) -> dict[str, Row]:
+        """Return the rows as last seen, by key."""
+
+    async def changed(self) -> None:
+        """Wait until a row has changed."""
+
+    async def transact(
+        self, transaction: Transaction, purpose: str
+    ) -> Committed | Conflict | Unavailable:
+        """Apply writes together if every condition holds."""
--- /dev/null
+++ b/packages/daemon/carobramp_daemon/cells/entry.py
@@ -0,0 +1,121 @@
+"""Service that holds the open requests of a daemon's callers."""
+
+import asyncio
+
+from mode import Service
+
+from carobramp_core.cells.entry import (
+    Answer,
+    CallerGone,
+    Entry,
+    EntryEvent,
+    EntryTick,
+    FromOwner,
+    JobReceived,
+    OwnerFound,
+    OwnerLost,
+    SendToOwner,
+)
+from carobramp_core.cells.messages import Interrupted, Job, Outcome, RefusalReason
+from carobramp_core.cells.orders import Note
+from carobramp_daemon.cells.clock import now
+
+TICK_S = 0.05
+
+
+class EntryService(Service):
+    """Open requests of one daemon.
+
+    Parameters
+    ==========
+
+    entry : decisions of the entry
+    """
+
+    def __init__(self, entry: Entry, metrics, log):
+        super().__init__()
+        self.entry = entry
+        self.metrics = metrics
+        self.log_line = log
+        self.links: dict[str, object] = {}
+        self.answers: dict[str, asyncio.Future] = {}
+
+    async def submit(self, job: Job) -> Outcome:
+        """Run a job and return its outcome.
+
+        When the caller of this method is cancelled, the job is withdrawn. A second
+        request for an open job takes its place: the first caller is gone.
+        """
+        earlier = self.answers.get(job.job_id)
+        answer = asyncio.get_running_loop().create_future()
+        self.answers[job.job_id] = answer
+        if earlier is not None and not earlier.done():
+            earlier.set_result(Interrupted(RefusalReason.INTERRUPTED))
+        else:
+            self.dispatch(JobReceived(job))
+        try:
+            return await answer
+        except asyncio.CancelledError:
+            if self.answers.get(job.job_id) is answer:
+                self.dispatch(CallerGone(job.job_id))
+            raise
+        finally:
+            if self.answers.get(job.job_id) is answer:
+                del self.answers[job.job_id]
+
+    def open_requests(self) -> int:
+        """Return the number of callers that wait."""
+        return len(self.answers)
+
+    def owner_found(self, cell, token, link):
+        """Register the link to the owner of a cell; `link.send` takes messages."""
+        self.links[cell] = link
+        self.log_line.info("owner found", cell=cell, token=token)
+        self.dispatch(OwnerFound(cell, token))
+
+    def owner_lost(self, cell, heard_at):
+        """Forget the link to the owner of a cell."""
+        if self.links.pop(cell, None) is not None:
+            self.dispatch(OwnerLost(cell, heard_at))
+
+    def take(self, cell, message):
+        """Take a message of the owner of a cell."""
+        self.dispatch(FromOwner(cell, message))
+
+    def dispatch(self, event: EntryEvent):
+        """Let the entry decide on an event and carry out its effects."""
+        for effect in self.entry.handle(event, now()):
+            if isinstance(effect, SendToOwner):
+                link = self.links.get(effect.cell)
+                if link is not None:
+                    link.send(effect.message)
+            elif isinstance(effect, Answer):
+                self.answer(effect)
+            elif isinstance(effect, Note):
+                self.log_line.info(effect.sentence, **effect.fields)
+
+    def answer(self, effect: Answer):
+        """Give the outcome of a job to its caller."""
+        kind = type(effect.outcome).__name__.lower()
+        reason = getattr(effect.outcome, "reason", "")
+        self.metrics.count("jobs", kind)
+        if reason:
+            self.metrics.count("job_refusals", reason)
+        self.metrics.observe("response_ms", kind, effect.age_s * 1000)
+        self.log_line.info(
+            "job ended",
+            job_id=effect.job_id,
+            outcome=kind,
+            reason=reason,
+            ms=round(effect.age_s * 1000),
+        )
+        answer = self.answers.get(effect.job_id)
+        if answer is not None and not answer.done():
+            answer.set_result(effect.outcome)
+
+    @Service.task
+    async def tick(self):
+        """Let time pass."""
+        while not self.should_stop:
+            await asyncio.sleep(TICK_S)
+            self.dispatch(EntryTick())
--- /dev/null
+++ b/packages/daemon/carobramp_daemon/cells/fleet.py
@@ -0,0 +1,464 @@
+"""Service that finds and links the owners of cells, and takes cells over."""
+
+import asyncio
+import dataclasses
+
+import msgspec
+from grpclib.client import Channel
+from grpclib.server import Server
+from mode import Service
+
+from carobramp_core.cells.claims import (
+    ClaimView,
+    claim_delay_s,
+    decide_claim,
+    decide_return,
+)
+from carobramp_core.cells.limits import CellLimits
+from carobramp_core.cells.orders import HoldOrder, NoAnswer
+from carobramp_core.cells.owner import CellOwner
+from carobramp_core.cells.ports import FleetTable, UpstreamList, UpstreamOrders
+from carobramp_core.platform import (
+    Committed,
+    Condition,
+    Transaction,
+    Unavailable,
+    Write,
+)
+from carobramp_daemon.cells.clock import now
+from carobramp_daemon.cells.entry import EntryService
+from carobramp_daemon.cells.links import (
+    LINK_ERRORS,
+    LocalLink,
+    RemoteLink,
+    receive,
+    serve_entry,
+)
+from carobramp_daemon.cells.owner import OwnerService
+from carobramp_schema.generated import cells_grpc
+from carobramp_schema.generated import cells_pb2 as pb
+
+ASK_TIMEOUT_S = 0.15
+WITNESSES = 5
+PROBED_UPSTREAMS = 3
+RETRY_S = 0.1
+ANNOUNCE_RETRY_S = 0.5
+HANDOVER_S = 1.0
+# A link is heard when its last message is this recent.
+HEARD_S = 0.25
+CELL_PREFIX = "cell/"
+VM_PREFIX = "vm/"
+
+
+class VmRow(msgspec.Struct, frozen=True):
+    """Row of a daemon."""
+
+    vm: str
+    availability_zone: str
+    host: str
+    port: int
+    incarnation: str
+
+
+class CellRow(msgspec.Struct, frozen=True):
+    """Row of a cell: its owner and fencing token."""
+
+    vm: str
+    availability_zone: str
+    host: str
+    port: int
+    incarnation: str
+    token: int
+
+
+@dataclasses.dataclass
+class CellState:
+    """What this daemon knows of a cell.
+
+    Parameters
+    ==========
+
+    silent_since : time since which no owner is heard; None while one is
+    link : link to a remote owner, while one is open
+    """
+
+    name: str
+    silent_since: float | None
+    link: RemoteLink | None = None
+
+
+class FleetService(Service, cells_grpc.CellsBase):
+    """Keeps a link to the owner of each cell, and takes over cells without one."""
+
+    def __init__(
+        self,
+        me: VmRow,
+        zones,
+        table: FleetTable,
+        upstream_list: UpstreamList,
+        orders: UpstreamOrders,
+        entry_service: EntryService,
+        limits: CellLimits,
+        metrics,
+        new_log,
+    ):
+        super().__init__()
+        self.me = me
+        self.table = table
+        self.upstream_list = upstream_list
+        self.orders = orders
+        self.entry_service = entry_service
+        self.limits = limits
+        self.metrics = metrics
+        self.new_log = new_log
+        self.log_line = new_log("fleet")
+        self.leaving = False
+        self.started_at = now()
+        self.cells = {zone: CellState(zone, self.started_at) for zone in zones}
+        self.owned: dict[str, OwnerService] = {}
+        self.server = Server([self])
+
+    async def on_start(self):
+        """Listen for entries."""
+        await self.server.start(self.me.host, self.me.port)
+
+    async def on_stop(self):
+        """Stop listening."""
+        self.server.close()
+
+    # Rows
+
+    def cell_row(self, cell) -> tuple[CellRow | None, int]:
+        """Return the row of a cell and its version."""
+        row = self.table.rows().get(CELL_PREFIX + cell)
+        if row is None:
+            return None, 0
+        return msgspec.json.decode(row.value, type=CellRow), row.version
+
+    def vms(self) -> dict[str, VmRow]:
+        """Return the daemons that have announced themselves."""
+        rows = self.table.rows()
+        decoded = [
+            msgspec.json.decode(row.value, type=VmRow)
+            for key, row in rows.items()
+            if key.startswith(VM_PREFIX)
+        ]
+        return {row.vm: row for row in decoded}
+
+    @Service.task
+    async def announce(self):
+        """Write the row of this daemon."""
+        key = VM_PREFIX + self.me.vm
+        value = msgspec.json.encode(self.me)
+        while not self.should_stop:
+            write = Transaction((), (Write(key, value),))
+            result = await self.table.transact(write, "announce")
+            if isinstance(result, Committed):
+                return
+            self.log_line.info("announcement failed", result=repr(result))
+            await self.sleep(ANNOUNCE_RETRY_S)
+
+    # Links
+
+    @Service.task
+    async def keep_links(self):
+        """Keep one link for each cell."""
+        keepers = [self.keep_link(state) for state in self.cells.values()]
+        await asyncio.gather(*keepers)
+
+    async def keep_link(self, state: CellState):
+        """Link the owner of a cell, or take its place."""
+        while not self.should_stop:
+            if state.name in self.owned:
+                await asyncio.sleep(RETRY_S)
+                continue
+            row, _ = self.cell_row(state.name)
+            if row is not None and row.vm != self.me.vm:
+                link = RemoteLink(
+                    state.name,
+                    self.me.vm,
+                    (row.host, row.port),
+                    self.entry_service,
+                    self.limits,
+                )
+                await self.run_link(state, link, row)
+            await self.consider(state)
+            await self.pause()
+
+    async def pause(self):
+        """Wait a moment, or until a row changes."""
+        try:
+            async with asyncio.timeout(RETRY_S):
+                await self.table.changed()
+        except TimeoutError:
+            return
+
+    async def run_link(self, state: CellState, link: RemoteLink, row: CellRow):
+        """Serve a link while its owner owns the cell."""
+        state.link = link
+        serving = asyncio.create_task(link.run())
+        try:
+            while not serving.done():
+                waiting = asyncio.create_task(self.pause())
+                await asyncio.wait(
+                    [serving, waiting], return_when=asyncio.FIRST_COMPLETED
+                )
+                waiting.cancel()
+                heard = link.cell in self.entry_service.links
+                if heard:
+                    state.silent_since = None
+                present, _ = self.cell_row(state.name)
+                if present is not None and present.token > row.token:
+                    break
+                if heard and self.should_return(state, row):
+                    await self.consider(state)
+        finally:
+            if state.silent_since is None:
+                state.silent_since = now() if serving.done() else link.heard_at
+            serving.cancel()
+            reason = "another owner"
+            try:
+                reason = await serving
+            except asyncio.CancelledError:
+                pass
+            state.link = None
+            self.log_line.info(
+                "link closed", cell=state.name, owner=row.vm, reason=reason
+            )
+
+    def should_return(self, state: CellState, row: CellRow):
+        """Whether the owner is of another zone and this daemon of the cell's."""
+        foreign = row.availability_zone != state.name
+        own = self.me.availability_zone == state.name
+        return foreign and own and now() - self.started_at > 1.0
+
+    # Claims
+
+    async def consider(self, state: CellState):
+        """Ask others about the owner of a cell and take it over if it is gone."""
+        if self.leaving or state.name in self.owned or not self.table.loaded():
+            return
+        row, version = self.cell_row(state.name)
+        heard = state.silent_since is None
+        if state.silent_since is None:
+            silent_s = 0.0
+        else:
+            silent_s = now() - state.silent_since
+        view = ClaimView(
+            owned=row is not None,
+            silent_s=silent_s,
+            same_zone=self.me.availability_zone == state.name,
+            owner_in_zone=row is not None and row.availability_zone == state.name,
+            rank=0,
+            witnesses=0,
+            hearing=0,
+            up_s=now() - self.started_at,
+        )
+        if not heard and silent_s < claim_delay_s(view):
+            return
+        view = await self.survey(state.name, row, view)
+        wanted = decide_return(view) if heard else decide_claim(view)
+        if not wanted:
+            return
+        if row is not None and not await self.reaches(state.name):
+            self.log_line.info("cell not reachable", cell=state.name)
+            return
+        self.log_line.info(
+            "takes over",
+            cell=state.name,
+            silent_s=round(silent_s, 3),
+            witnesses=view.witnesses,
+            rank=view.rank,
+        )
+        await self.claim(state, row, version)
+
+    async def survey(self, cell, row, view: ClaimView) -> ClaimView:
+        """Ask other daemons whether they hear the owner."""
+        others = [vm for vm in self.vms().values() if vm.vm != self.me.vm]
+        others.sort(key=lambda vm: (vm.availability_zone != cell, vm.vm))
+        asked = others[:WITNESSES]
+        question = pb.OwnerQuestion(cell=cell, vm=row.vm if row else "")
+        replies = await asyncio.gather(*(self.ask(vm, question) for vm in asked))
+        answers = [reply for reply in replies if reply is not None]
+        before = [
+            answer
+            for answer in answers
+            if answer.candidate and answer.vm < self.me.vm
+        ]
+        return dataclasses.replace(
+            view,
+            rank=len(before),
+            witnesses=len(answers),
+            hearing=sum(answer.hears for answer in answers),
+        )
+
+    async def ask(self, vm: VmRow, question) -> pb.OwnerAnswer | None:
+        """Ask one daemon whether it hears an owner."""
+        channel = Channel(vm.host, vm.port)
+        try:
+            async with asyncio.timeout(ASK_TIMEOUT_S):
+                return await cells_grpc.CellsStub(channel).HearsOwner(question)
+        except LINK_ERRORS:
+            return None
+        finally:
+            channel.close()
+
+    async def reaches(self, cell) -> bool:
+        """Whether an upstream of a cell answers this daemon."""
+        listed = await self.upstream_list.read()
+        if isinstance(listed, Unavailable):
+            return False
+        members = [u for u in listed if u.availability_zone == cell]
+        if not members:
+            return True
+        probes = [
+            HoldOrder(u.name, u.address, 0, 0, None, 0, ASK_TIMEOUT_S)
+            for u in members[:: max(1, len(members) // PROBED_UPSTREAMS)]
+        ]
+        outcomes = await asyncio.gather(*(self.orders.hold(order) for order in probes))
+        return any(not isinstance(outcome, NoAnswer) for outcome in outcomes)
+
+    async def claim(self, state: CellState, row: CellRow | None, version) -> bool:
+        """Make this daemon the owner of a cell if nobody else has become it."""
+        token = (row.token if row else 0) + 1
+        mine = CellRow(
+            self.me.vm,
+            self.me.availability_zone,
+            self.me.host,
+            self.me.port,
+            self.me.incarnation,
+            token,
+        )
+        key = CELL_PREFIX + state.name
+        write = Transaction(
+            (Condition(key, version),), (Write(key, msgspec.json.encode(mine)),)
+        )
+        result = await self.table.transact(write, "claim")
+        if not isinstance(result, Committed):
+            self.log_line.info("claim failed", cell=state.name, result=repr(result))
+            return False
+        self.own(state, token, taken_over=row is not None)
+        return True
+
+    def own(self, state: CellState, token, taken_over):
+        """Start to own a cell."""
+        owner = CellOwner(state.name, token, self.limits, now(), taken_over)
+        service = OwnerService(
+            owner,
+            self.orders,
+            self.upstream_list,
+            self.deposed,
+            self.metrics,
+            self.new_log("owner"),
+        )
+        self.owned[state.name] = service
+        state.silent_since = None
+        self.metrics.count("takeovers", state.name)
+        to_entry = LocalLink(lambda m: self.entry_service.take(state.name, m))
+        to_owner = LocalLink(lambda m: service.take(self.me.vm, m))
+        service.local_links = (to_entry, to_owner)
+        asyncio.create_task(self.run_owner(service, to_entry, to_owner))
+
+    async def run_owner(self, service: OwnerService, to_entry, to_owner):
+        """Start an owner and link the entry of this process to it."""
+        await service.start()
+        service.connect(self.me.vm, to_entry)
+        cell, token = service.owner.cell, service.owner.token
+        if self.owned.get(cell) is service:
+            self.entry_service.owner_found(cell, token, to_owner)
+
+    def deposed(self, service: OwnerService, upstream):
+        """Another daemon owns the cell of a service."""
+        cell = service.owner.cell
+        self.log_line.info(
+            "deposed", cell=cell, token=service.owner.token, upstream=upstream
+        )
+        self.disown(service)
+
+    def disown(self, service: OwnerService):
+        """Stop to own a cell; its entries look for the next owner."""
+        cell = service.owner.cell
+        if self.owned.get(cell) is not service:
+            return
+        del self.owned[cell]
+        self.cells[cell].silent_since = now()
+        service.owner.deposed = True
+        for link in service.local_links:
+            link.open = False
+        self.entry_service.owner_lost(cell, now())
+        asyncio.create_task(service.stop())
+
+    @Service.task
+    async def watch_rows(self):
+        """Give up cells whose row names another owner."""
+        while not self.should_stop:
+            await self.pause()
+            for cell, service in list(self.owned.items()):
+                row, _ = self.cell_row(cell)
+                if row is not None and row.token > service.owner.token:
+                    self.log_line.info("superseded", cell=cell, owner=row.vm)
+                    self.disown(service)
+
+    async def hand_over(self):
+        """Let other daemons take over the owned cells before this one stops."""
+        self.leaving = True
+        for cell, service in list(self.owned.items()):
+            others = [vm for vm in self.vms().values() if vm.vm != self.me.vm]
+            others.sort(key=lambda vm: (vm.availability_zone != cell, vm.vm))
+            for vm in others:
+                if await self.give(cell, vm):
+                    self.log_line.info("handed over", cell=cell, to=vm.vm)
+                    self.disown(service)
+                    break
+
+    async def give(self, cell, vm: VmRow) -> bool:
+        """Ask one daemon to take over a cell."""
+        channel = Channel(vm.host, vm.port)
+        try:
+            async with asyncio.timeout(HANDOVER_S):
+                request = pb.TakeOver(cell=cell, vm=self.me.vm)
+                reply = await cells_grpc.CellsStub(channel).TakeCell(request)
+            return reply.taken
+        except LINK_ERRORS:
+            return False
+        finally:
+            channel.close()
+
+    # Calls of other daemons
+
+    async def Link(self, stream):
+        """Serve the link of an entry."""
+        frame = await receive(stream, self.limits)
+        if frame is None or frame.WhichOneof("body") != "hello":
+            return
+        service = self.owned.get(frame.hello.cell)
+        if service is None or not service.started:
+            return
+        await serve_entry(stream, service, frame.hello)
+
+    async def HearsOwner(self, stream):
+        """Tell whether this daemon hears the owner of a cell."""
+        question = await stream.recv_message()
+        state = self.cells.get(question.cell)
+        hears = question.cell in self.owned
+        if state is not None and state.link is not None:
+            recent = now() - state.link.heard_at < HEARD_S
+            hears = hears or recent and state.name in self.entry_service.links
+        candidate = (
+            self.me.availability_zone == question.cell
+            and not self.leaving
+            and question.vm != self.me.vm
+        )
+        answer = pb.OwnerAnswer(hears=hears, vm=self.me.vm, candidate=candidate)
+        await stream.send_message(answer)
+
+    async def TakeCell(self, stream):
+        """Take over a cell from an owner that is about to stop."""
+        request = await stream.recv_message()
+        state = self.cells.get(request.cell)
+        taken = False
+        if state is not None and not self.leaving and self.table.loaded():
+            row, version = self.cell_row(request.cell)
+            if row is not None and row.vm == request.vm:
+                taken = await self.claim(state, row, version)
+        await stream.send_message(pb.TakeOverReply(taken=taken))
--- /dev/null
+++ b/packages/daemon/carobramp_daemon/cells/owner.py
@@ -0,0 +1,195 @@
+"""Service that owns one cell: holds its upstreams and carries out the orders."""
+
+import asyncio
+
+from mode import Service
+
+from carobramp_core.cells.limits import CellLimits
+from carobramp_core.cells.orders import (
+    Deposed,
+    EntryLost,
+    FromEntry,
+    HoldAnswered,
+    Listed,
+    Listing,
+    NoAnswer,
+    Note,
+    OwnerEvent,
+    Send,
+    StartAnswered,
+    StartOrder,
+    StopAnswered,
+    StopOrder,
+    Tick,
+)
+from carobramp_core.cells.owner import CellOwner
+from carobramp_core.cells.ports import UpstreamList, UpstreamOrders
+from carobramp_core.platform import Unavailable
+from carobramp_daemon.cells.clock import now
+
+TICK_S = 0.05
+# A draining upstream must be known well within the two seconds that the platform
+# grants; a read takes up to 0.1 s on a slow store.
+LIST_INTERVAL_S = 0.4
+# Pause between holds of an upstream that does not answer, doubled up to the second.
+RETRY_HOLD_MIN_S = 0.05
+RETRY_HOLD_MAX_S = 0.5
+
+
+class OwnerService(Service):
+    """Owns one cell until another daemon does or the daemon stops.
+
+    Parameters
+    ==========
+
+    owner : decisions of the cell
+    orders : sends orders to upstreams
+    upstream_list : lists the upstreams of all cells
+    on_deposed : called once when an upstream has seen a higher token
+    """
+
+    def __init__(
+        self,
+        owner: CellOwner,
+        orders: UpstreamOrders,
+        upstream_list: UpstreamList,
+        on_deposed,
+        metrics,
+        log,
+    ):
+        super().__init__()
+        self.owner = owner
+        self.orders = orders
+        self.upstream_list = upstream_list
+        self.on_deposed = on_deposed
+        self.metrics = metrics
+        self.log_line = log
+        self.links: dict[str, object] = {}
+        self.holders: dict[str, asyncio.Task] = {}
+        self.calls: set[asyncio.Task] = set()
+
+    @property
+    def limits(self) -> CellLimits:
+        """Return the limits of the cell."""
+        return self.owner.limits
+
+    def connect(self, entry, link):
+        """Register the link to an entry; `link.send` takes messages."""
+        self.links[entry] = link
+        link.send(self.owner.room(now()))
+
+    def disconnect(self, entry):
+        """Forget a link that is closed."""
+        if self.links.pop(entry, None) is not None:
+            self.dispatch(EntryLost(entry))
+
+    def take(self, entry, message):
+        """Take a message of an entry."""
+        self.dispatch(FromEntry(entry, message))
+
+    def dispatch(self, event: OwnerEvent):
+        """Let the owner decide on an event and carry out its effects."""
+        for effect in self.owner.handle(event, now()):
+            if isinstance(effect, StartOrder):
+                self.metrics.count("task_starts", self.owner.cell)
+                self.spawn(self.start_run(effect))
+            elif isinstance(effect, StopOrder):
+                self.spawn(self.stop_run(effect))
+            elif isinstance(effect, Send):
+                link = self.links.get(effect.entry)
+                if link is not None:
+                    link.send(effect.message)
+            elif isinstance(effect, Note):
+                self.log_line.info(
+                    effect.sentence, cell=self.owner.cell, **effect.fields
+                )
+            elif isinstance(effect, Deposed):
+                self.on_deposed(self, effect.upstream)
+
+    def spawn(self, coroutine):
+        """Run a call beside the others."""
+        call = asyncio.create_task(coroutine)
+        self.calls.add(call)
+        call.add_done_callback(self.calls.discard)
+
+    async def start_run(self, order: StartOrder):
+        """Send a start order."""
+        sent_at = now()
+        outcome = await self.orders.start(order)
+        self.log_line.info(
+            "start",
+            job_id=order.run_id.job_id,
+            index=order.run_id.index,
+            upstream=order.upstream,
+            run=order.run_id.run,
+            outcome=type(outcome).__name__,
+        )
+        self.dispatch(StartAnswered(order, outcome, sent_at))
+
+    async def stop_run(self, order: StopOrder):
+        """Send a stop order."""
+        sent_at = now()
+        outcome = await self.orders.stop(order)
+        self.metrics.count("task_stops", type(outcome).__name__)
+        self.dispatch(StopAnswered(order, outcome, sent_at))
+
+    async def on_start(self):
+        """Read the list before the first tick."""
+        self.log_line.info("owns", cell=self.owner.cell, token=self.owner.token)
+
+    async def on_stop(self):
+        """Stop holding; runs go on until the next owner adopts them."""
+        for task in [*self.holders.values(), *self.calls]:
+            task.cancel()
+        self.log_line.info("stops owning", cell=self.owner.cell)
+
+    @Service.task
+    async def follow_list(self):
+        """Read the list of upstreams again and again."""
+        while not self.should_stop:
+            listed = await self.upstream_list.read()
+            if not isinstance(listed, Unavailable):
+                cell = self.owner.cell
+                own = tuple(u for u in listed if u.availability_zone == cell)
+                self.dispatch(Listed(own))
+                self.start_holders()
+            await self.sleep(LIST_INTERVAL_S)
+
+    def start_holders(self):
+        """Start a task for each upstream that has none."""
+        for name in self.owner.upstreams:
+            if name not in self.holders:
+                self.holders[name] = asyncio.create_task(self.hold_upstream(name))
+
+    async def hold_upstream(self, name):
+        """Hold one upstream until it is gone."""
+        pause = RETRY_HOLD_MIN_S
+        while not self.should_stop:
+            order = self.owner.next_hold(name, now())
+            if order is None:
+                break
+            sent_at = now()
+            outcome = await self.orders.hold(order)
+            self.metrics.count("holds", type(outcome).__name__)
+            self.dispatch(HoldAnswered(order, outcome, sent_at))
+            if isinstance(outcome, Listing):
+                pause = RETRY_HOLD_MIN_S
+            elif isinstance(outcome, NoAnswer) and order.deadline_ms is not None:
+                continue
+            else:
+                await asyncio.sleep(pause)
+                pause = min(RETRY_HOLD_MAX_S, 2 * pause)
+        self.holders.pop(name, None)
+
+    @Service.task
+    async def tick(self):
+        """Let time pass, and send heartbeats with the state of the cell."""
+        beat_at = 0.0
+        while not self.should_stop:
+            await asyncio.sleep(TICK_S)
+            self.dispatch(Tick())
+            if now() - beat_at >= self.limits.heartbeat_s:
+                beat_at = now()
+                room = self.owner.room(beat_at)
+                for link in list(self.links.values()):
+                    link.send(room)
--- a/packages/daemon/carobramp_daemon/logs.py
+++ b/packages/daemon/carobramp_daemon/logs.py
@@ -17,6 +17,11 @@
     "membership",
     "platform",
     "daemon",
+    "entry",
+    "owner",
+    "fleet",
+    "routes",
+    "ingress",
 )
 
 
@@ -75,3 +80,9 @@
     """Send log lines to standard error, one JSON object a line."""
     eliot.to_file(sys.stderr)
     logging.basicConfig(handlers=[LibraryHandler(vm)])
+
+
+def log_to_stdout(vm):
+    """Send log lines to standard output, one JSON object a line."""
+    eliot.to_file(sys.stdout)
+    logging.basicConfig(handlers=[LibraryHandler(vm)])
--- a/packages/daemon/carobramp_daemon/metrics.py
+++ b/packages/daemon/carobramp_daemon/metrics.py
@@ -21,6 +21,11 @@
     "platform_failures": "Platform calls without a usable reply, by purpose.",
     "peer_messages": "Messages between entry VMs by call.",
     "peer_bytes": "Bytes between entry VMs by call.",
+    "task_stops": "Orders to stop a run, by outcome.",
+    "holds": "Renewals of leases by outcome.",
+    "takeovers": "Cells that this daemon came to own, by cell.",
+    "job_refusals": "Requests for jobs without a result, by reason.",
+    "platform_invalid": "Entries of the platform that could not be used, by table.",
     "guard_trips": "Guards that opened, by service.",
 }
 HISTOGRAMS = {
--- a/packages/schema/carobramp_schema/generate.py
+++ b/packages/schema/carobramp_schema/generate.py
@@ -27,6 +27,7 @@
 PACKAGE = pathlib.Path(__file__).parent
 DEFINITIONS = PACKAGE / "definitions"
 GENERATED = PACKAGE / "generated"
+PROTOCOLS = ("peer", "cells")
 HEADER = '"""Generated from {name} by `make generate`; do not edit."""'
 
 
@@ -100,15 +101,16 @@
             f"--python_out={target}",
             f"--pyi_out={target}",
             f"--grpclib_python_out={target}",
-            str(DEFINITIONS / "peer.proto"),
+            *(str(DEFINITIONS / f"{name}.proto") for name in PROTOCOLS),
         ]
     )
     if status:
         raise SystemExit("protoc failed")
-    stub = target / "peer_grpc.py"
-    text = stub.read_text()
-    text = text.replace("import peer_pb2", "from . import peer_pb2")
-    stub.write_text(text)
+    for name in PROTOCOLS:
+        stub = target / f"{name}_grpc.py"
+        text = stub.read_text()
+        text = text.replace(f"import {name}_pb2", f"from . import {name}_pb2")
+        stub.write_text(text)
 
 
 def format_modules(target):
