Keep an entry's link to its own cell, and take over only what is gone

Ruled out: adoption itself; every listed upstream had answered.

Change: links are removed by identity; a claim needs an upstream that answers and asks the owner itself last; entries name the upstreams of the former owner with resumed tasks; runs of a lost entry are stopped after a grace time in which it may link again.

--- a/packages/core/carobramp_core/cells/entry.py
+++ b/packages/core/carobramp_core/cells/entry.py
@@ -19,10 +19,11 @@
     Failed,
     Interrupted,
     Job,
+    Members,
     Offer,
     Outcome,
-    Refused,
     RefusalReason,
+    Refused,
     Returned,
     ReturnReason,
     Room,
@@ -97,9 +98,7 @@
     age_s: float
 
 
-EntryEvent = (
-    JobReceived | CallerGone | OwnerFound | OwnerLost | FromOwner | EntryTick
-)
+EntryEvent = JobReceived | CallerGone | OwnerFound | OwnerLost | FromOwner | EntryTick
 EntryEffect = SendToOwner | Answer | Note
 
 
@@ -167,6 +166,8 @@
         self.limits = limits
         self.jobs: dict[str, OpenJob] = {}
         self.cells: dict[str, Cell] = {}
+        # Upstreams of each cell as its last owner named them.
+        self.members: dict[str, tuple[str, ...]] = {}
 
     def handle(self, event: EntryEvent, now: float) -> list[EntryEffect]:
         """Take an event at time `now` and return the effects to carry out."""
@@ -211,6 +212,7 @@
         resumed=False,
     ):
         """Send one offer and note it."""
+        members = self.members.get(cell, ())
         offer = Offer(
             state.job,
             tuple(sorted(indexes)),
@@ -219,6 +221,7 @@
             resumed,
             state.committed(),
             state.avoid,
+            members if resumed else (),
         )
         state.offered.setdefault(cell, set()).update(indexes)
         effects.append(SendToOwner(cell, offer))
@@ -318,6 +321,11 @@
         known.waiting_s = message.waiting_s
 
 
+@on_message.register
+def _(message: Members, cell, entry: Entry, now, effects):
+    entry.members[cell] = message.names
+
+
 @on_message.register
 def _(message: Started, cell, entry: Entry, now, effects):
     state = entry.jobs.get(message.job_id)
--- a/packages/core/carobramp_core/cells/limits.py
+++ b/packages/core/carobramp_core/cells/limits.py
@@ -29,6 +29,8 @@
     heartbeat_s : time between heartbeats on a link
     orphan_s : time after a takeover in which entries claim runs that go on;
         unclaimed ones are stopped before a caller may send the job again
+    entry_grace_s : time in which an entry may link again before its runs are stopped;
+        with `link_silence_s` and `stop_s` it must stay below `resend_s`
     resend_s : time after which a caller without an answer sends its job again
     """
 
@@ -40,6 +42,7 @@
     link_silence_s: float = 0.4
     heartbeat_s: float = 0.1
     orphan_s: float = 0.3
+    entry_grace_s: float = 0.15
     resend_s: float = 1.3
 
     def lapse_s(self) -> float:
--- a/packages/core/carobramp_core/cells/messages.py
+++ b/packages/core/carobramp_core/cells/messages.py
@@ -76,6 +76,7 @@
     committed : whether other tasks of the job may have run, so that the job can no
         longer be refused
     avoid : upstreams on which tasks of the job have failed
+    members : upstreams on which a resumed task may run
     """
 
     job: Job
@@ -85,6 +86,7 @@
     resumed: bool = False
     committed: bool = False
     avoid: tuple[str, ...] = ()
+    members: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -140,8 +142,15 @@
     waiting_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Members:
+    """All upstreams of a cell; sent to each entry when they change."""
+
+    names: tuple[str, ...]
+
+
 ToOwner = Offer | Cancel
-ToEntry = Returned | Started | TaskEnded | Room
+ToEntry = Returned | Started | TaskEnded | Room | Members
 
 
 class RefusalReason(enum.StrEnum):
--- a/packages/core/carobramp_core/cells/orders.py
+++ b/packages/core/carobramp_core/cells/orders.py
@@ -246,12 +246,6 @@
 
 
 OwnerEvent = (
-    FromEntry
-    | EntryLost
-    | Listed
-    | HoldAnswered
-    | StartAnswered
-    | StopAnswered
-    | Tick
+    FromEntry | EntryLost | Listed | HoldAnswered | StartAnswered | StopAnswered | Tick
 )
 OwnerEffect = StartOrder | StopOrder | Send | Deposed | Note
--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -14,6 +14,7 @@
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import (
     Cancel,
+    Members,
     Offer,
     Returned,
     ReturnReason,
@@ -54,7 +55,7 @@
     order_key,
 )
 from carobramp_core.cells.upstreams import Run, RunPhase, Upstream
-from carobramp_core.dispatch.runtimes import RunTimes
+from carobramp_core.runtimes import RunTimes
 
 DEFAULT_RUN_MS = 200.0
 # Runs of one owner are numbered within its token, so that every run of a later
@@ -94,6 +95,8 @@
         self.runs: dict[tuple[str, int], Run] = {}
         self.job_runs: dict[str, set[Run]] = {}
         self.entries: dict[str, str] = {}
+        # Entries whose link is closed, with the time at which their runs are stopped.
+        self.lost_entries: dict[str, float] = {}
         self.results: dict[tuple[str, int], tuple[TaskResult, str, float]] = {}
         self.run_times: dict[str, RunTimes] = {}
         self.deposed = False
@@ -282,7 +285,7 @@
         ]
         if not fresh:
             return
-        if offer.resumed and not self.settled(now):
+        if offer.resumed and not self.settled(offer.members, now):
             rest = dataclasses.replace(offer, indexes=tuple(fresh))
             self.resuming.append((entry, rest, received_at))
             return
@@ -358,22 +361,28 @@
             return True
         return False
 
-    def settled(self, now) -> bool:
-        """Whether every run of an earlier owner is known or over."""
+    def settled(self, members, now) -> bool:
+        """Whether every run of an earlier owner is known or over.
+
+        Upstreams that the list lacks may still run something: their entries expire
+        while they are cut off from the store. The earlier owner stops renewing once
+        it sees the higher token, at the latest with the next hold of any upstream.
+        """
         if not self.taken_over:
             return True
-        if now - self.since > self.limits.lapse_s():
+        over_s = self.limits.lapse_s() + self.limits.link_silence_s
+        if now - self.since > over_s:
             return True
-        return bool(self.upstreams) and all(
-            upstream.answered for upstream in self.upstreams.values()
-        )
+        named = all(name in self.upstreams for name in members)
+        return named and all(upstream.answered for upstream in self.upstreams.values())
 
     def resume(self, now, effects):
         """Admit the resumed offers once earlier runs are known."""
-        if not self.resuming or not self.settled(now):
-            return
         resuming, self.resuming = self.resuming, []
         for entry, offer, received_at in resuming:
+            if not self.settled(offer.members, now):
+                self.resuming.append((entry, offer, received_at))
+                continue
             fresh = [
                 index
                 for index in offer.indexes
@@ -393,6 +402,10 @@
             if run.phase != RunPhase.STOPPING:
                 self.stop(run, now, effects)
 
+    def members(self) -> Members:
+        """Return the names of the cell's upstreams for the entries."""
+        return Members(tuple(self.upstreams))
+
     def room(self, now) -> Room:
         """Return the state of the cell for the entries."""
         free = sum(u.free_cpu(now) for u in self.upstreams.values())
@@ -431,11 +444,13 @@
 
 @on_event.register
 def _(event: EntryLost, owner: CellOwner, now, effects):
-    lost = [job for job, entry in owner.entries.items() if entry == event.entry]
-    for job_id in lost:
-        owner.release(job_id, now, effects)
+    lost = {job for job, entry in owner.entries.items() if entry == event.entry}
+    if not lost:
+        return
+    owner.waiting = [task for task in owner.waiting if task.job.job_id not in lost]
+    owner.lost_entries[event.entry] = now + owner.limits.entry_grace_s
     note = {"entry": event.entry, "jobs": len(lost)}
-    effects.append(Note("entry lost, its runs are stopped", note))
+    effects.append(Note("entry lost", note))
 
 
 @on_event.register
@@ -679,10 +694,23 @@
             if run.job is None and now - run.started_at > owner.limits.orphan_s:
                 if run.phase != RunPhase.STOPPING:
                     owner.stop(run, now, effects)
+    release_lost(owner, now, effects)
     expire(owner, now, effects)
     owner.resume(now, effects)
 
 
+def release_lost(owner: CellOwner, now, effects):
+    """Stop the runs of entries that did not come back."""
+    for entry in [name for name, at in owner.lost_entries.items() if now >= at]:
+        del owner.lost_entries[entry]
+        jobs = [job for job, name in owner.entries.items() if name == entry]
+        for job_id in jobs:
+            owner.release(job_id, now, effects)
+        if jobs:
+            note = {"entry": entry, "jobs": len(jobs)}
+            effects.append(Note("runs of a lost entry are stopped", note))
+
+
 def gone(upstream: Upstream, now) -> bool:
     """Whether an upstream is neither listed nor answering, and its lease is over."""
     return (
--- a/packages/core/carobramp_core/dispatch/pool.py
+++ b/packages/core/carobramp_core/dispatch/pool.py
@@ -18,8 +18,8 @@
 from carobramp_core.dispatch.guards import WindowCounts
 from carobramp_core.dispatch.queue import ServiceQueue
 from carobramp_core.dispatch.retries import RetryBudget
-from carobramp_core.dispatch.runtimes import RunTimes
 from carobramp_core.dispatch.upstreams import Upstream
+from carobramp_core.runtimes import RunTimes
 from carobramp_schema.generated.ticket import ServiceState
 
 VERSIONS = itertools.count(1)
--- a/packages/daemon/carobramp_daemon/cells/entry.py
+++ b/packages/daemon/carobramp_daemon/cells/entry.py
@@ -69,13 +69,17 @@
 
     def owner_found(self, cell, token, link):
         """Register the link to the owner of a cell; `link.send` takes messages."""
+        earlier = self.links.get(cell)
+        if earlier is not None:
+            self.owner_lost(cell, earlier, now())
         self.links[cell] = link
         self.log_line.info("owner found", cell=cell, token=token)
         self.dispatch(OwnerFound(cell, token))
 
-    def owner_lost(self, cell, heard_at):
-        """Forget the link to the owner of a cell."""
-        if self.links.pop(cell, None) is not None:
+    def owner_lost(self, cell, link, heard_at):
+        """Forget a link to the owner of a cell, unless another has replaced it."""
+        if link is not None and self.links.get(cell) is link:
+            del self.links[cell]
             self.dispatch(OwnerLost(cell, heard_at))
 
     def take(self, cell, message):
--- a/packages/daemon/carobramp_daemon/cells/fleet.py
+++ b/packages/daemon/carobramp_daemon/cells/fleet.py
@@ -1,6 +1,7 @@
 """Service that finds and links the owners of cells, and takes cells over."""
 
 import asyncio
+import contextlib
 import dataclasses
 
 import msgspec
@@ -217,14 +218,13 @@
                 state.silent_since = now() if serving.done() else link.heard_at
             serving.cancel()
             reason = "another owner"
-            try:
+            with contextlib.suppress(asyncio.CancelledError):
                 reason = await serving
-            except asyncio.CancelledError:
-                pass
             state.link = None
-            self.log_line.info(
-                "link closed", cell=state.name, owner=row.vm, reason=reason
-            )
+            if link.sender is not None:
+                self.log_line.info(
+                    "link closed", cell=state.name, owner=row.vm, reason=reason
+                )
 
     def should_return(self, state: CellState, row: CellRow):
         """Whether the owner is of another zone and this daemon of the cell's."""
@@ -260,8 +260,7 @@
         wanted = decide_return(view) if heard else decide_claim(view)
         if not wanted:
             return
-        if row is not None and not await self.reaches(state.name):
-            self.log_line.info("cell not reachable", cell=state.name)
+        if row is not None and not await self.may_depose(state.name, row):
             return
         self.log_line.info(
             "takes over",
@@ -281,9 +280,7 @@
         replies = await asyncio.gather(*(self.ask(vm, question) for vm in asked))
         answers = [reply for reply in replies if reply is not None]
         before = [
-            answer
-            for answer in answers
-            if answer.candidate and answer.vm < self.me.vm
+            answer for answer in answers if answer.candidate and answer.vm < self.me.vm
         ]
         return dataclasses.replace(
             view,
@@ -310,7 +307,8 @@
             return False
         members = [u for u in listed if u.availability_zone == cell]
         if not members:
-            return True
+            # Nothing can be gained, and entries may have expired behind a cut.
+            return False
         probes = [
             HoldOrder(u.name, u.address, 0, 0, None, 0, ASK_TIMEOUT_S)
             for u in members[:: max(1, len(members) // PROBED_UPSTREAMS)]
@@ -318,6 +316,26 @@
         outcomes = await asyncio.gather(*(self.orders.hold(order) for order in probes))
         return any(not isinstance(outcome, NoAnswer) for outcome in outcomes)
 
+    async def may_depose(self, cell, row: CellRow) -> bool:
+        """Whether the upstreams can be reached and the owner cannot.
+
+        The owner is asked last: a cut that has just healed would otherwise let the
+        upstreams answer while the earlier silence still counts.
+        """
+        if not await self.reaches(cell):
+            self.metrics.count("claims_dropped", "unreachable")
+            return False
+        if row.vm == self.me.vm:
+            return True
+        owner = VmRow(row.vm, row.availability_zone, row.host, row.port, "")
+        if row.availability_zone != cell and self.me.availability_zone == cell:
+            return True
+        answer = await self.ask(owner, pb.OwnerQuestion(cell=cell, vm=row.vm))
+        if answer is not None and answer.hears:
+            self.metrics.count("claims_dropped", "owner_answers")
+            return False
+        return True
+
     async def claim(self, state: CellState, row: CellRow | None, version) -> bool:
         """Make this daemon the owner of a cell if nobody else has become it."""
         token = (row.token if row else 0) + 1
@@ -385,7 +403,7 @@
         service.owner.deposed = True
         for link in service.local_links:
             link.open = False
-        self.entry_service.owner_lost(cell, now())
+        self.entry_service.owner_lost(cell, service.local_links[1], now())
         asyncio.create_task(service.stop())
 
     @Service.task
--- a/packages/daemon/carobramp_daemon/cells/frames.py
+++ b/packages/daemon/carobramp_daemon/cells/frames.py
@@ -5,6 +5,7 @@
 from carobramp_core.cells.messages import (
     Cancel,
     Job,
+    Members,
     Offer,
     Returned,
     ReturnReason,
@@ -49,6 +50,7 @@
         resumed=message.resumed,
         committed=message.committed,
         avoid=message.avoid,
+        members=message.members,
     )
     return pb.Frame(offer=offer)
 
@@ -85,6 +87,11 @@
     return pb.Frame(task_ended=ended)
 
 
+@encode.register
+def _(message: Members):
+    return pb.Frame(members=pb.Members(names=message.names))
+
+
 @encode.register
 def _(message: Room):
     room = pb.Room(
@@ -108,6 +115,7 @@
         offer.resumed,
         offer.committed,
         tuple(offer.avoid),
+        tuple(offer.members),
     )
 
 
@@ -139,6 +147,7 @@
     "started": lambda started: Started(started.job_id, tuple(started.indexes)),
     "task_ended": decode_ended,
     "room": decode_room,
+    "members": lambda members: Members(tuple(members.names)),
 }
 
 
--- a/packages/daemon/carobramp_daemon/cells/links.py
+++ b/packages/daemon/carobramp_daemon/cells/links.py
@@ -96,6 +96,7 @@
         self.entry_service = entry_service
         self.limits = limits
         self.heard_at = now()
+        self.sender: FrameSender | None = None
 
     async def run(self):
         """Serve the link until it is lost; return why."""
@@ -107,7 +108,7 @@
             return repr(error)
         finally:
             channel.close()
-            self.entry_service.owner_lost(self.cell, self.heard_at)
+            self.entry_service.owner_lost(self.cell, self.sender, self.heard_at)
 
     async def serve(self, stream):
         """Introduce this entry, then pass messages both ways."""
@@ -117,7 +118,6 @@
             await stream.send_message(pb.Frame(hello=hello))
         sender = FrameSender(stream, self.limits)
         sending = asyncio.create_task(sender.run())
-        found = False
         try:
             while not sending.done():
                 frame = await receive(stream, self.limits)
@@ -125,8 +125,8 @@
                     return "the owner closed the link"
                 self.heard_at = now()
                 message = frames.decode(frame)
-                if not found and isinstance(message, Room):
-                    found = True
+                if self.sender is None and isinstance(message, Room):
+                    self.sender = sender
                     self.entry_service.owner_found(self.cell, message.token, sender)
                 if message is not None:
                     self.entry_service.take(self.cell, message)
--- a/packages/daemon/carobramp_daemon/cells/owner.py
+++ b/packages/daemon/carobramp_daemon/cells/owner.py
@@ -77,6 +77,7 @@
         """Register the link to an entry; `link.send` takes messages."""
         self.links[entry] = link
         link.send(self.owner.room(now()))
+        link.send(self.owner.members())
 
     def disconnect(self, entry):
         """Forget a link that is closed."""
@@ -151,10 +152,18 @@
             if not isinstance(listed, Unavailable):
                 cell = self.owner.cell
                 own = tuple(u for u in listed if u.availability_zone == cell)
+                known = self.owner.members()
                 self.dispatch(Listed(own))
                 self.start_holders()
+                if self.owner.members() != known:
+                    self.send_members()
             await self.sleep(LIST_INTERVAL_S)
 
+    def send_members(self):
+        """Tell the entries which upstreams the cell has."""
+        for link in list(self.links.values()):
+            link.send(self.owner.members())
+
     def start_holders(self):
         """Start a task for each upstream that has none."""
         for name in self.owner.upstreams:
--- a/packages/daemon/carobramp_daemon/metrics.py
+++ b/packages/daemon/carobramp_daemon/metrics.py
@@ -23,6 +23,7 @@
     "peer_bytes": "Bytes between entry VMs by call.",
     "task_stops": "Orders to stop a run, by outcome.",
     "holds": "Renewals of leases by outcome.",
+    "claims_dropped": "Takeovers that were considered and dropped, by reason.",
     "takeovers": "Cells that this daemon came to own, by cell.",
     "job_refusals": "Requests for jobs without a result, by reason.",
     "platform_invalid": "Entries of the platform that could not be used, by table.",
