--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 VENV ?= .venv
 PY = $(VENV)/bin/python
 PACKAGES = schema core daemon cli testing
+SOURCES = packages platform
 SETUP = $(VENV)/.installed
 
 .PHONY: setup demo test lint model bench chaos capacity generate format
@@ -21,9 +22,9 @@
 	$(PY) -m carobramp_testing.runner
 
 lint: setup
-	$(PY) -m ruff format --check packages
-	$(PY) -m ruff check packages
-	$(PY) -m mypy $(PACKAGES:%=-p carobramp_%)
+	$(PY) -m ruff format --check $(SOURCES)
+	$(PY) -m ruff check $(SOURCES)
+	$(PY) -m mypy $(PACKAGES:%=-p carobramp_%) -p carobramp_platform
 	$(PY) -m carobramp_schema.generate --check
 
 model: setup
@@ -42,5 +43,5 @@
 	$(PY) -m carobramp_schema.generate
 
 format: setup
-	$(PY) -m ruff format packages
-	$(PY) -m ruff check --fix packages
+	$(PY) -m ruff format $(SOURCES)
+	$(PY) -m ruff check --fix $(SOURCES)
--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -691,14 +691,19 @@
             owner.drop_upstream(upstream, now, effects)
             continue
         for run in list(upstream.runs.values()):
-            if run.job is None and now - run.started_at > owner.limits.orphan_s:
-                if run.phase != RunPhase.STOPPING:
-                    owner.stop(run, now, effects)
+            if unclaimed(run, owner.limits, now):
+                owner.stop(run, now, effects)
     release_lost(owner, now, effects)
     expire(owner, now, effects)
     owner.resume(now, effects)
 
 
+def unclaimed(run: Run, limits: CellLimits, now) -> bool:
+    """Whether no entry has claimed a run of an earlier owner in time."""
+    late = now - run.started_at > limits.orphan_s
+    return run.job is None and late and run.phase != RunPhase.STOPPING
+
+
 def release_lost(owner: CellOwner, now, effects):
     """Stop the runs of entries that did not come back."""
     for entry in [name for name, at in owner.lost_entries.items() if now >= at]:
--- a/packages/core/carobramp_core/cells/placement.py
+++ b/packages/core/carobramp_core/cells/placement.py
@@ -11,6 +11,7 @@
 """
 
 import dataclasses
+import math
 
 from carobramp_core.cells.messages import Job
 from carobramp_core.cells.upstreams import Upstream
@@ -73,7 +74,8 @@
 
     upstreams : upstreams of the task's service
     """
-    best, best_key = None, None
+    best: Upstream | None = None
+    best_key = (math.inf, math.inf)
     top_speed = 0.0
     for upstream in upstreams:
         if not upstream.usable(now) or upstream.name in task.avoid:
@@ -84,7 +86,7 @@
             continue
         left = upstream.listed.cpu - upstream.used_cpu - task.job.cpu
         key = (task.expected_s / speed, left)
-        if best_key is None or key < best_key:
+        if key < best_key:
             best, best_key = upstream, key
     if best is None:
         return None
--- a/packages/core/carobramp_core/cells/ports.py
+++ b/packages/core/carobramp_core/cells/ports.py
@@ -33,9 +33,19 @@
         """Return all upstreams."""
 
 
+class Link(Protocol):
+    """One direction of a link between an entry and an owner."""
+
+    def send(self, message) -> None:
+        """Queue a message; what a closed link holds is lost."""
+
+
 class FleetTable(Protocol):
     """Rows about the daemons and the owners of cells."""
 
+    def loaded(self) -> bool:
+        """Whether the table was read once."""
+
     def rows(self) -> dict[str, Row]:
         """Return the rows as last seen, by key."""
 
--- /dev/null
+++ b/packages/core/carobramp_core/cells/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of cells."""
--- /dev/null
+++ b/packages/core/carobramp_core/cells/tests/support.py
@@ -0,0 +1,139 @@
+"""Builders of test data for cells."""
+
+from typing import Any
+
+from carobramp_core.cells.limits import CellLimits
+from carobramp_core.cells.messages import Job, Offer
+from carobramp_core.cells.orders import (
+    Accepted,
+    EndEntry,
+    EndKind,
+    FromEntry,
+    HoldAnswered,
+    Listed,
+    ListedUpstream,
+    Listing,
+    NoAnswer,
+    RunningEntry,
+    Send,
+    StartAnswered,
+    StartOrder,
+    StopAnswered,
+    StopOrder,
+    Tick,
+    UpstreamState,
+)
+from carobramp_core.cells.owner import CellOwner
+
+LIMITS = CellLimits()
+SERVICE = "order-desk"
+
+
+def job(job_id="5c0e7a21d94b36f8", tasks=1, **fields) -> Job:
+    """Build a job whose tasks take 0.1 s on 6.8 cores."""
+    defaults: dict[str, Any] = {
+        "spec": "logo",
+        "service": SERVICE,
+        "queue": "previews",
+        "cpu": 6800,
+        "memory_mb": 64,
+        "estimate_ms": 100.0,
+        "stretch": 1.6,
+        "target_ms": 60.0,
+        "max_attempts": 3,
+    }
+    return Job(job_id=job_id, tasks=tasks, **(defaults | fields))
+
+
+def offer(item: Job, **fields) -> Offer:
+    """Build an offer of all tasks of a job."""
+    defaults: dict[str, Any] = {"indexes": tuple(range(item.tasks)), "may_wait": True}
+    return Offer(item, **(defaults | fields))
+
+
+def upstream(name="i-1", **fields) -> ListedUpstream:
+    """Build an entry of the list of upstreams."""
+    defaults: dict[str, Any] = {
+        "service": SERVICE,
+        "address": f"{name}:80",
+        "availability_zone": "tilburg",
+        "state": UpstreamState.READY,
+        "cpu": 16000,
+        "memory_mb": 32768,
+        "accelerators": 0,
+    }
+    return ListedUpstream(name=name, **(defaults | fields))
+
+
+class OwnerBench:
+    """Drives an owner and its upstreams by hand; `now` is the present time."""
+
+    def __init__(self, *upstreams: ListedUpstream, taken_over=False, now=100.0):
+        self.now = now
+        self.owner = CellOwner("tilburg", 3, LIMITS, now, taken_over)
+        self.clocks = {item.name: 5000 for item in upstreams}
+        self.handle(Listed(tuple(upstreams)))
+
+    def handle(self, event):
+        """Handle an event now."""
+        return self.owner.handle(event, self.now)
+
+    def answer_hold(self, name="i-1", running=(), ended=(), sent_at=None, born=1):
+        """Let an upstream answer its next hold."""
+        order = self.owner.next_hold(name, self.now)
+        self.clocks[name] += 10
+        listing = Listing(self.clocks[name], born, tuple(running), tuple(ended))
+        asked = self.now if sent_at is None else sent_at
+        return self.handle(HoldAnswered(order, listing, asked))
+
+    def fail_hold(self, name="i-1"):
+        """Let a hold of an upstream get no answer."""
+        order = self.owner.next_hold(name, self.now)
+        return self.handle(HoldAnswered(order, NoAnswer("silent"), self.now))
+
+    def offer(self, item: Job, entry="front-1", **fields):
+        """Offer all tasks of a job."""
+        return self.handle(FromEntry(entry, offer(item, **fields)))
+
+    def accept(self, order: StartOrder):
+        """Let an upstream accept a start."""
+        return self.handle(StartAnswered(order, Accepted(6000), self.now))
+
+    def lose_start(self, order: StartOrder):
+        """Let a start get no answer."""
+        return self.handle(StartAnswered(order, NoAnswer("lost"), self.now))
+
+    def accept_stop(self, order: StopOrder):
+        """Let an upstream accept a stop."""
+        return self.handle(StopAnswered(order, Accepted(6000), self.now))
+
+    def tick(self, seconds=0.0):
+        """Let time pass."""
+        self.now += seconds
+        return self.handle(Tick())
+
+
+def starts(effects) -> list[StartOrder]:
+    """Return the start orders among effects."""
+    return [effect for effect in effects if isinstance(effect, StartOrder)]
+
+
+def stops(effects) -> list[StopOrder]:
+    """Return the stop orders among effects."""
+    return [effect for effect in effects if isinstance(effect, StopOrder)]
+
+
+def messages(effects, kind):
+    """Return the messages of a kind that effects send to entries."""
+    sent = [effect.message for effect in effects if isinstance(effect, Send)]
+    return [message for message in sent if isinstance(message, kind)]
+
+
+def running(order: StartOrder, percent=10) -> RunningEntry:
+    """Return the listing entry of a started run."""
+    return RunningEntry(order.run_id, percent)
+
+
+def ended(order: StartOrder | RunningEntry, kind=EndKind.DONE, number=1) -> EndEntry:
+    """Return the listed end of a started run."""
+    return EndEntry(number, order.run_id, kind)
--- /dev/null
+++ b/packages/core/carobramp_core/cells/tests/test_entry.py
@@ -0,0 +1,179 @@
+"""Tests of the entry of jobs."""
+
+import unittest
+
+from carobramp_core.cells.entry import (
+    Answer,
+    CallerGone,
+    Entry,
+    EntryTick,
+    FromOwner,
+    JobReceived,
+    OwnerFound,
+    OwnerLost,
+    SendToOwner,
+)
+from carobramp_core.cells.messages import (
+    Cancel,
+    Completed,
+    Failed,
+    Interrupted,
+    Offer,
+    Refused,
+    Returned,
+    ReturnReason,
+    Room,
+    Started,
+    TaskEnded,
+    TaskResult,
+)
+from carobramp_core.cells.tests.support import LIMITS, job
+
+JOB_ID = "5c0e7a21d94b36f8"
+
+
+class EntryCase(unittest.TestCase):
+    """An entry in tilburg that has found the owners of two cells."""
+
+    def setUp(self):
+        """Bring about the situation of these tests."""
+        self.now = 50.0
+        self.entry = Entry("tilburg", LIMITS)
+        for cell in ("breda", "tilburg"):
+            self.handle(OwnerFound(cell, 1))
+            self.tell(cell, Room(cell, 1, 16000, 16000, 0.0))
+
+    def handle(self, event):
+        """Handle an event now."""
+        return self.entry.handle(event, self.now)
+
+    def tell(self, cell, message):
+        """Take a message of an owner."""
+        return self.handle(FromOwner(cell, message))
+
+    def submit(self, tasks=2, **fields):
+        """Submit a job and return its only offer."""
+        (send,) = self.handle(JobReceived(job(JOB_ID, tasks, **fields)))
+        return send
+
+    def end(self, cell, index, result=TaskResult.DONE, upstream="i-1"):
+        """Let a task end."""
+        return self.tell(cell, TaskEnded(JOB_ID, index, result, upstream))
+
+
+def answers(effects):
+    """Return the outcomes among effects."""
+    return [effect.outcome for effect in effects if isinstance(effect, Answer)]
+
+
+def offers(effects):
+    """Return (cell, offer) of the offers among effects."""
+    return [
+        (effect.cell, effect.message)
+        for effect in effects
+        if isinstance(effect, SendToOwner) and isinstance(effect.message, Offer)
+    ]
+
+
+class PathTests(EntryCase):
+    """Jobs that run to their end."""
+
+    def test_home_cell_first_then_the_rest_elsewhere(self):
+        """Guards against tasks that wait at home while another cell has room."""
+        self.assertEqual(self.submit(tasks=3).cell, "tilburg")
+        returned = Returned(JOB_ID, (1, 2), ReturnReason.NO_ROOM)
+        ((cell, offer),) = offers(self.tell("tilburg", returned))
+        self.assertEqual((cell, offer.indexes), ("breda", (1, 2)))
+        self.assertTrue(offer.committed)
+
+    def test_answer_needs_every_task(self):
+        """Guards against an answer that is only a part."""
+        self.submit()
+        self.assertEqual(answers(self.end("tilburg", 0)), [])
+        self.assertEqual(answers(self.end("tilburg", 0)), [])
+        self.assertEqual(answers(self.end("tilburg", 1)), [Completed()])
+
+    def test_failed_only_after_all_attempts(self):
+        """Guards against a job that fails before its attempts are used."""
+        self.submit(tasks=1, max_attempts=2)
+        effects = self.end("tilburg", 0, TaskResult.FAILED)
+        ((_, offer),) = offers(effects)
+        self.assertEqual(offer.avoid, ("i-1",))
+        effects = self.end("tilburg", 0, TaskResult.FAILED, "i-2")
+        self.assertEqual(answers(effects), [Failed()])
+
+    def test_lost_run_is_no_attempt(self):
+        """Guards against jobs that fail because upstreams died."""
+        self.submit(tasks=1, max_attempts=1)
+        effects = self.end("tilburg", 0, TaskResult.LOST)
+        self.assertEqual((len(offers(effects)), answers(effects)), (1, []))
+
+    def test_caller_that_leaves_withdraws_its_job(self):
+        """Guards against work for callers that have gone."""
+        self.submit()
+        effects = self.handle(CallerGone(JOB_ID))
+        cancels = [e for e in effects if isinstance(e, SendToOwner)]
+        self.assertEqual([e.message for e in cancels], [Cancel(JOB_ID)])
+
+
+class RefusalTests(EntryCase):
+    """Refusals that say whether the job has run."""
+
+    def overloaded(self, cell):
+        """Let a cell refuse all tasks."""
+        indexes = (0, 1)
+        message = Returned(JOB_ID, indexes, ReturnReason.OVERLOADED, 2.0)
+        return self.tell(cell, message)
+
+    def test_untouched_job_is_refused_with_a_time(self):
+        """Guards against refusals that do not say when to come back."""
+        self.submit()
+        (outcome,) = answers(self.overloaded("tilburg"))
+        self.assertIsInstance(outcome, Refused)
+        self.assertGreaterEqual(outcome.retry_after_s, 1.0)
+
+    def test_started_job_is_never_said_not_to_have_run(self):
+        """Guards against a refusal that claims that nothing ran."""
+        self.submit()
+        self.tell("tilburg", Started(JOB_ID, (0,)))
+        (outcome,) = answers(self.overloaded("tilburg"))
+        self.assertIsInstance(outcome, Interrupted)
+
+    def test_tasks_elsewhere_count_as_started(self):
+        """Guards against "not run" while another cell may start a task."""
+        self.submit(tasks=2)
+        self.tell("tilburg", Returned(JOB_ID, (1,), ReturnReason.NO_ROOM))
+        message = Returned(JOB_ID, (1,), ReturnReason.OVERLOADED)
+        (outcome,) = answers(self.tell("breda", message))
+        self.assertIsInstance(outcome, Interrupted)
+
+    def test_lost_owner_leaves_the_fate_open(self):
+        """Guards against "not run" after the link to an owner was lost."""
+        self.submit()
+        self.handle(OwnerLost("tilburg", self.now))
+        self.handle(OwnerLost("breda", self.now))
+        self.now += LIMITS.abandoned_s() + 0.1
+        (outcome,) = answers(self.handle(EntryTick()))
+        self.assertIsInstance(outcome, Interrupted)
+
+
+class OwnerLossTests(EntryCase):
+    """Owners that are lost while their tasks run."""
+
+    def test_next_owner_gets_resumed_tasks(self):
+        """Guards against a second start of a task that the next owner adopts."""
+        self.submit()
+        self.handle(OwnerLost("tilburg", self.now))
+        effects = self.handle(OwnerFound("tilburg", 2))
+        ((cell, offer),) = offers(effects)
+        self.assertEqual((cell, offer.resumed), ("tilburg", True))
+
+    def test_elsewhere_only_when_the_runs_are_over(self):
+        """Guards against two runs of a task on both sides of a cut."""
+        self.submit()
+        self.handle(OwnerLost("tilburg", self.now))
+        self.now += LIMITS.lapse_s()
+        self.assertEqual(offers(self.handle(EntryTick())), [])
+        self.now += LIMITS.abandoned_s()
+        ((cell, _),) = offers(self.handle(EntryTick()))
+        self.assertEqual(cell, "breda")
--- /dev/null
+++ b/packages/core/carobramp_core/cells/tests/test_owner.py
@@ -0,0 +1,270 @@
+"""Tests of the owner of a cell."""
+
+import unittest
+
+from carobramp_core.cells.messages import Returned, ReturnReason, TaskEnded, TaskResult
+from carobramp_core.cells.orders import (
+    Deposed,
+    EndKind,
+    EntryLost,
+    Listed,
+    Refusal,
+    Rejected,
+    RunId,
+    RunningEntry,
+    StartAnswered,
+    UpstreamState,
+)
+from carobramp_core.cells.tests.support import (
+    LIMITS,
+    OwnerBench,
+    ended,
+    job,
+    messages,
+    running,
+    starts,
+    stops,
+    upstream,
+)
+
+
+class UnknownFateTests(unittest.TestCase):
+    """Orders without an answer."""
+
+    def setUp(self):
+        """Bring about the situation of these tests."""
+        self.bench = OwnerBench(upstream())
+        self.bench.answer_hold()
+        (self.order,) = starts(self.bench.offer(job()))
+        self.bench.lose_start(self.order)
+
+    def test_listed_run_goes_on(self):
+        """Guards against a second run of a task whose start answer was lost."""
+        self.bench.now += 0.2
+        effects = self.bench.answer_hold(running=[running(self.order)])
+        self.assertEqual((starts(effects), stops(effects)), ([], []))
+        effects = self.bench.answer_hold(ended=[ended(self.order)])
+        (end,) = messages(effects, TaskEnded)
+        self.assertEqual(end.result, TaskResult.DONE)
+
+    def test_unlisted_run_is_revoked_before_a_restart(self):
+        """Guards against a start that is carried out after its task runs elsewhere."""
+        self.bench.now += 0.2
+        effects = self.bench.answer_hold()
+        (stop,) = stops(effects)
+        self.assertEqual(starts(effects), [])
+        self.bench.accept_stop(stop)
+        self.bench.now += 0.01
+        (again,) = starts(self.bench.answer_hold())
+        self.assertGreater(again.run_id.run, self.order.run_id.run)
+
+    def test_run_is_over_once_its_deadline_has_passed(self):
+        """Guards against room that an unanswered start and stop keep for good."""
+        self.bench.now += LIMITS.lapse_s() + 0.1
+        effects = self.bench.answer_hold()
+        self.assertEqual(len(starts(effects)), 1)
+
+    def test_listing_asked_for_earlier_proves_nothing(self):
+        """Guards against a listing that was made before the start arrived."""
+        effects = self.bench.answer_hold(sent_at=self.bench.now - 0.5)
+        self.assertEqual((starts(effects), stops(effects)), ([], []))
+
+
+class LeaseTests(unittest.TestCase):
+    """Upstreams that do not answer."""
+
+    def setUp(self):
+        """Bring about the situation of these tests."""
+        self.bench = OwnerBench(upstream("i-1"), upstream("i-2", cpu=6000))
+        self.bench.answer_hold("i-1")
+        self.bench.answer_hold("i-2")
+        (self.order,) = starts(self.bench.offer(job()))
+        self.bench.accept(self.order)
+
+    def test_task_is_lost_only_after_the_lease(self):
+        """Guards against a task that runs twice while its upstream is cut off."""
+        self.bench.fail_hold()
+        self.assertEqual(messages(self.bench.tick(0.9), TaskEnded), [])
+        (end,) = messages(self.bench.tick(0.3), TaskEnded)
+        self.assertEqual(end.result, TaskResult.LOST)
+
+    def test_silent_upstream_is_not_renewed(self):
+        """Guards against a lease that goes on behind a cut of one direction."""
+        self.bench.fail_hold()
+        self.assertIsNone(self.bench.owner.next_hold("i-1", self.bench.now).deadline_ms)
+
+    def test_slow_clock_is_allowed_for(self):
+        """Guards against a lease that lapses later on a clock that is 2% slow."""
+        order = self.bench.owner.next_hold("i-1", self.bench.now)
+        lease_s = (order.deadline_ms - self.bench.clocks["i-1"]) / 1000
+        until = self.bench.owner.upstreams["i-1"].leased_until
+        self.assertGreaterEqual(until, self.bench.now + lease_s / 0.98)
+
+    def test_new_life_ends_the_runs(self):
+        """Guards against waiting for a task of an upstream that started again."""
+        (end,) = messages(self.bench.answer_hold(born=2), TaskEnded)
+        self.assertEqual(end.result, TaskResult.LOST)
+
+    def test_leaving_upstream_gets_nothing(self):
+        """Guards against starts on an upstream that drains."""
+        leaving = upstream("i-1", state=UpstreamState.LEAVING)
+        self.bench.handle(Listed((leaving,)))
+        self.assertEqual(starts(self.bench.offer(job("0" * 16))), [])
+
+
+class TakeoverTests(unittest.TestCase):
+    """Runs of an earlier owner."""
+
+    def test_running_task_is_adopted(self):
+        """Guards against a second run of a task that an earlier owner started."""
+        bench = OwnerBench(upstream(), taken_over=True)
+        item = job()
+        self.assertEqual(starts(bench.offer(item, resumed=True)), [])
+        earlier = RunningEntry(RunId(item.job_id, 0, 7), 40)
+        effects = bench.answer_hold(running=[earlier])
+        self.assertEqual((starts(effects), stops(effects)), ([], []))
+        bench.tick(LIMITS.orphan_s + 0.1)
+        done = ended(earlier)
+        (end,) = messages(bench.answer_hold(ended=[done]), TaskEnded)
+        self.assertEqual(end.result, TaskResult.DONE)
+
+    def test_unlisted_upstream_delays_resumed_tasks(self):
+        """Guards against a task that still runs on an upstream whose entry expired.
+
+        On trouble-1 of deklep-sched a task ran twice for 0.15 s: the store had lost
+        the entry of its upstream during a cut of the zone.
+        """
+        bench = OwnerBench(upstream("i-1"), taken_over=True)
+        item = job(target_ms=5000)
+        bench.offer(item, resumed=True, members=("i-1", "i-2"))
+        self.assertEqual(starts(bench.answer_hold("i-1")), [])
+        bench.now += LIMITS.lapse_s()
+        self.assertEqual(starts(bench.answer_hold("i-1")), [])
+        bench.now += LIMITS.link_silence_s
+        self.assertEqual(len(starts(bench.answer_hold("i-1"))), 1)
+
+    def test_fresh_task_does_not_wait(self):
+        """Guards against jobs that are held back during a takeover."""
+        bench = OwnerBench(upstream("i-1"), upstream("i-2"), taken_over=True)
+        bench.answer_hold("i-1")
+        self.assertEqual(len(starts(bench.offer(job()))), 1)
+
+    def test_unclaimed_run_is_stopped(self):
+        """Guards against a run that goes on after its caller has asked elsewhere."""
+        bench = OwnerBench(upstream(), taken_over=True)
+        bench.answer_hold(running=[RunningEntry(RunId("0" * 16, 0, 7), 40)])
+        self.assertEqual(len(stops(bench.tick(LIMITS.orphan_s + 0.1))), 1)
+
+    def test_higher_token_deposes(self):
+        """Guards against two owners that both give orders."""
+        bench = OwnerBench(upstream())
+        bench.answer_hold()
+        (order,) = starts(bench.offer(job()))
+        outcome = Rejected(Refusal.FENCED)
+        effects = bench.handle(StartAnswered(order, outcome, bench.now))
+        self.assertTrue(any(isinstance(effect, Deposed) for effect in effects))
+        self.assertIsNone(bench.owner.next_hold("i-1", bench.now))
+        self.assertEqual(starts(bench.offer(job("0" * 16))), [])
+
+
+class EntryTests(unittest.TestCase):
+    """Entries that leave and come back."""
+
+    def setUp(self):
+        """Bring about the situation of these tests."""
+        self.bench = OwnerBench(upstream())
+        self.bench.answer_hold()
+        self.item = job()
+        (self.order,) = starts(self.bench.offer(self.item))
+        self.bench.accept(self.order)
+
+    def test_lost_entry_stops_its_runs(self):
+        """Guards against a run that goes on while its caller asks another entry."""
+        self.bench.handle(EntryLost("front-1"))
+        self.assertEqual(stops(self.bench.tick(0.01)), [])
+        self.assertEqual(len(stops(self.bench.tick(LIMITS.entry_grace_s))), 1)
+
+    def test_entry_that_links_again_keeps_its_run(self):
+        """Guards against work thrown away when a connection is reset."""
+        self.bench.handle(EntryLost("front-1"))
+        self.bench.offer(self.item, entry="front-1/2", resumed=True)
+        effects = self.bench.tick(LIMITS.entry_grace_s + 0.01)
+        self.assertEqual((starts(effects), stops(effects)), ([], []))
+
+    def test_detection_is_quicker_than_the_caller(self):
+        """Guards against two runs when a caller asks another entry."""
+        stopped_s = LIMITS.link_silence_s + LIMITS.entry_grace_s + LIMITS.stop_s
+        self.assertLess(stopped_s, LIMITS.resend_s)
+        self.assertLess(LIMITS.lapse_s(), LIMITS.resend_s)
+
+    def test_second_entry_takes_the_job_over(self):
+        """Guards against two runs of a job that its caller sent to two entries."""
+        effects = self.bench.offer(self.item, entry="front-2")
+        self.assertEqual(starts(effects), [])
+        (returned,) = messages(effects, Returned)
+        self.assertEqual(returned.reason, ReturnReason.SUPERSEDED)
+
+    def test_failed_run_is_reported(self):
+        """Guards against failures that are silently repeated."""
+        end = ended(self.order, EndKind.FAILED)
+        (message,) = messages(self.bench.answer_hold(ended=[end]), TaskEnded)
+        self.assertEqual(message.result, TaskResult.FAILED)
+
+
+class RoomTests(unittest.TestCase):
+    """Capacity of upstreams."""
+
+    def setUp(self):
+        """Bring about the situation of these tests."""
+        self.bench = OwnerBench(upstream())
+        self.bench.answer_hold()
+
+    def test_room_is_never_exceeded(self):
+        """Guards against starts that the upstream has to reject."""
+        effects = self.bench.offer(job(tasks=5))
+        self.assertEqual(len(starts(effects)), 2)
+
+    def test_offer_without_waiting_returns_the_rest(self):
+        """Guards against tasks that wait here while another cell has room."""
+        effects = self.bench.offer(job(tasks=5), may_wait=False)
+        (returned,) = messages(effects, Returned)
+        self.assertEqual(len(returned.indexes), 3)
+
+    def test_hopeless_job_is_refused_at_once(self):
+        """Guards against requests that are held until they are of no use."""
+        for number in range(20):
+            self.bench.offer(job(f"{number:016x}", 8, target_ms=1e6))
+        urgent = job("f" * 16, 8, target_ms=1.0, stretch=1.0)
+        (returned,) = messages(self.bench.offer(urgent), Returned)
+        self.assertEqual(returned.reason, ReturnReason.OVERLOADED)
+
+    def test_committed_job_is_not_refused(self):
+        """Guards against a refusal of a job some of whose tasks have run."""
+        for number in range(20):
+            self.bench.offer(job(f"{number:016x}", 8, target_ms=1e6))
+        urgent = job("f" * 16, 8, target_ms=1.0, stretch=1.0)
+        effects = self.bench.offer(urgent, committed=True)
+        self.assertEqual(messages(effects, Returned), [])
+
+
+class QuarantineTests(unittest.TestCase):
+    """Upstreams that fail what they start."""
+
+    def test_failures_of_two_jobs_quarantine(self):
+        """Guards against an upstream that fails everything and looks idle."""
+        bench = OwnerBench(upstream())
+        bench.answer_hold()
+        for number in range(2):
+            (order,) = starts(bench.offer(job(f"{number:016x}")))
+            bench.accept(order)
+            end = ended(order, EndKind.FAILED, number + 1)
+            bench.answer_hold(ended=[end], running=[])
+        self.assertEqual(starts(bench.offer(job("f" * 16))), [])
+
+    def test_run_of_a_listed_start_is_kept(self):
+        """Guards against a listing that makes a run be started again."""
+        bench = OwnerBench(upstream())
+        bench.answer_hold()
+        (order,) = starts(bench.offer(job()))
+        effects = bench.answer_hold(running=[running(order)])
+        self.assertEqual((starts(effects), stops(effects)), ([], []))
--- a/packages/daemon/carobramp_daemon/cells/entry.py
+++ b/packages/daemon/carobramp_daemon/cells/entry.py
@@ -18,6 +18,7 @@
 )
 from carobramp_core.cells.messages import Interrupted, Job, Outcome, RefusalReason
 from carobramp_core.cells.orders import Note
+from carobramp_core.cells.ports import Link
 from carobramp_daemon.cells.clock import now
 
 TICK_S = 0.05
@@ -37,7 +38,7 @@
         self.entry = entry
         self.metrics = metrics
         self.log_line = log
-        self.links: dict[str, object] = {}
+        self.links: dict[str, Link] = {}
         self.answers: dict[str, asyncio.Future] = {}
 
     async def submit(self, job: Job) -> Outcome:
--- a/packages/daemon/carobramp_daemon/cells/fleet.py
+++ b/packages/daemon/carobramp_daemon/cells/fleet.py
@@ -240,10 +240,7 @@
             return
         row, version = self.cell_row(state.name)
         heard = state.silent_since is None
-        if state.silent_since is None:
-            silent_s = 0.0
-        else:
-            silent_s = now() - state.silent_since
+        silent_s = 0.0 if heard else now() - (state.silent_since or 0.0)
         view = ClaimView(
             owned=row is not None,
             silent_s=silent_s,
--- a/packages/daemon/carobramp_daemon/cells/frames.py
+++ b/packages/daemon/carobramp_daemon/cells/frames.py
@@ -1,6 +1,7 @@
 """Frames of a link between an entry and an owner, from and to messages."""
 
 import functools
+from collections.abc import Callable
 
 from carobramp_core.cells.messages import (
     Cancel,
@@ -140,7 +141,7 @@
     return Room(room.cell, room.token, room.free_cpu, room.total_cpu, room.waiting_s)
 
 
-DECODERS = {
+DECODERS: dict[str, Callable] = {
     "offer": decode_offer,
     "cancel": lambda cancel: Cancel(cancel.job_id),
     "returned": decode_returned,
--- a/packages/daemon/carobramp_daemon/cells/owner.py
+++ b/packages/daemon/carobramp_daemon/cells/owner.py
@@ -23,7 +23,7 @@
     Tick,
 )
 from carobramp_core.cells.owner import CellOwner
-from carobramp_core.cells.ports import UpstreamList, UpstreamOrders
+from carobramp_core.cells.ports import Link, UpstreamList, UpstreamOrders
 from carobramp_core.platform import Unavailable
 from carobramp_daemon.cells.clock import now
 
@@ -64,7 +64,9 @@
         self.on_deposed = on_deposed
         self.metrics = metrics
         self.log_line = log
-        self.links: dict[str, object] = {}
+        self.links: dict[str, Link] = {}
+        # Both directions of the link to the entry of this process.
+        self.local_links: tuple = ()
         self.holders: dict[str, asyncio.Task] = {}
         self.calls: set[asyncio.Task] = set()
 
--- a/packages/testing/carobramp_testing/builders/jobs.py
+++ b/packages/testing/carobramp_testing/builders/jobs.py
@@ -1,5 +1,7 @@
 """Builders of job requests."""
 
+import json
+
 from carobramp_schema.generated.caller import JobRequest, TaskSpec
 
 DEADLINE_MS = 5000
@@ -15,3 +17,14 @@
         "tasks": [TaskSpec({"run_ms": run_ms}, run_ms) for _ in range(tasks)],
     }
     return JobRequest(**(defaults | fields))
+
+
+def leased_job(tasks=4, run_ms=60, cpu=6800):
+    """Return the body of a job on the users' platform; its caller waits."""
+    return {
+        "best_effort": True,
+        "spec": json.dumps({"cpu": cpu, "run_ms": run_ms}),
+        "steps": [
+            {"count": tasks, "cpu": cpu, "mem_mb": 64, "estimate_ms": run_ms},
+        ],
+    }
--- a/packages/testing/carobramp_testing/checker.py
+++ b/packages/testing/carobramp_testing/checker.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import itertools
 from typing import Any
 
 from carobramp_core.outcomes import Reason
@@ -149,3 +150,25 @@
     if body.get("not_run") is True and starts:
         return f"{body.get('reason')} says not run; started: {sorted(starts)}"
     return ""
+
+
+def overlapping_runs(runs) -> list[str]:
+    """Return the tasks of which two runs were there at the same time.
+
+    Parameters
+    ==========
+
+    runs : runs of the stand-in upstreams, each with `task`, `started_at` and
+        `ended_at`, which is None while it runs
+    """
+    by_task: dict[str, list] = {}
+    for run in runs:
+        by_task.setdefault(run.task, []).append(run)
+    twice = []
+    for task, same in by_task.items():
+        same.sort(key=lambda run: run.started_at)
+        for earlier, later in itertools.pairwise(same):
+            if earlier.ended_at is None or earlier.ended_at > later.started_at:
+                twice.append(task)
+                break
+    return twice
--- /dev/null
+++ b/packages/testing/carobramp_testing/leased.py
@@ -0,0 +1,179 @@
+"""Daemons on the stand-in of the users' platform, as processes on loopback."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+
+import aiohttp
+
+from carobramp_testing.processes import wait_for
+from carobramp_testing.standins.leased import LeasedPlatform
+from carobramp_testing.standins.leased.platform import HOST
+
+SETTINGS = """
+node_name = "{name}"
+role = "entry"
+ip = "{ip}"
+zone = "{zone}"
+region = "here"
+port_range = [7720, 7735]
+[zones]
+{zones}
+[listen]
+front = "{ip}:8161"
+ready = "{ip}:8167"
+[bounds]
+grace_s = 6
+hold_max_ms = 1000
+[platform]
+address = "{store}"
+"""
+FRONT_PORT, READY_PORT, METRICS_PORT = 8161, 8167, 7735
+STOP_TIMEOUT_S = 8.0
+HTTP_OK = 200
+CONNECTION_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
+
+
+class Daemon:
+    """One daemon process."""
+
+    def __init__(self, name, zone, ip, folder):
+        self.name = name
+        self.zone = zone
+        self.ip = ip
+        self.settings = folder / f"{name}.toml"
+        self.log = folder / f"{name}.log"
+        self.child: asyncio.subprocess.Process | None = None
+
+    def url(self, port=FRONT_PORT):
+        """Return the URL of a port of the daemon."""
+        return f"http://{self.ip}:{port}"
+
+    async def start(self):
+        """Start the process."""
+        environment = {**os.environ, "CAROBRAMP_NODE_FILE": str(self.settings)}
+        with self.log.open("ab") as log:
+            self.child = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "carobramp_platform",
+                stdout=log,
+                stderr=log,
+                env=environment,
+                start_new_session=True,
+            )
+
+    def send_signal(self, number):
+        """Send a signal, if the process still runs."""
+        if self.child is not None and self.child.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.child.pid, number)
+
+    async def end(self, number=signal.SIGKILL):
+        """Send a signal and wait for the end of the process."""
+        if self.child is None:
+            return
+        self.send_signal(number)
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                await self.child.wait()
+        except TimeoutError:
+            self.send_signal(signal.SIGKILL)
+            await self.child.wait()
+
+    async def restart(self):
+        """Start again after an end."""
+        await self.start()
+
+
+class LeasedDeployment:
+    """A stand-in platform with daemons in each availability zone.
+
+    Parameters
+    ==========
+
+    daemons : number of daemons in each zone
+    """
+
+    def __init__(self, platform: LeasedPlatform, daemons=2):
+        self.platform = platform
+        self.per_zone = daemons
+        self.folder = tempfile.TemporaryDirectory(prefix="carobramp-")
+        self.daemons: dict[str, Daemon] = {}
+        self.session: aiohttp.ClientSession
+
+    async def __aenter__(self):
+        """Start the platform and the daemons, and wait until they are ready."""
+        self.session = aiohttp.ClientSession()
+        await self.platform.start()
+        subnet = f"127.{random.randint(1, 254)}.{random.randint(0, 254)}"
+        zones = "\n".join(f'{zone} = "here"' for zone in self.platform.zones)
+        folder = pathlib.Path(self.folder.name)
+        for zone in self.platform.zones:
+            for number in range(self.per_zone):
+                ip = f"{subnet}.{len(self.daemons) + 1}"
+                daemon = Daemon(f"{zone}-{number}", zone, ip, folder)
+                text = SETTINGS.format(
+                    name=daemon.name,
+                    ip=ip,
+                    zone=zone,
+                    zones=zones,
+                    store=self.platform.store.address,
+                )
+                daemon.settings.write_text(text)
+                self.daemons[daemon.name] = daemon
+        await asyncio.gather(*(daemon.start() for daemon in self.daemons.values()))
+        await wait_for(self.all_ready)
+        return self
+
+    async def __aexit__(self, *_):
+        """End everything that was started."""
+        for daemon in self.daemons.values():
+            daemon.send_signal(signal.SIGCONT)
+        await asyncio.gather(*(daemon.end() for daemon in self.daemons.values()))
+        await self.platform.stop()
+        await self.session.close()
+        self.folder.cleanup()
+
+    async def ready(self, daemon: Daemon):
+        """Whether a daemon says that it is ready."""
+        try:
+            url = daemon.url(READY_PORT) + "/-/ready"
+            async with self.session.get(url) as reply:
+                return reply.status == HTTP_OK
+        except CONNECTION_ERRORS:
+            return False
+
+    async def all_ready(self):
+        """Whether all daemons are ready and every cell has an owner."""
+        owners = [self.owner(zone) for zone in self.platform.zones]
+        ready = [await self.ready(daemon) for daemon in self.daemons.values()]
+        return all(ready) and all(owners)
+
+    def owner(self, cell):
+        """Return the daemon that owns a cell by the store, or None."""
+        row = self.platform.store.value("fleet", f"cell/{cell}")
+        return self.daemons.get(row["vm"]) if row else None
+
+    async def submit(self, daemon: Daemon, job_id, body, queue="previews", timeout=10):
+        """Send a job and return status and body; status 0 for no answer."""
+        try:
+            async with self.session.post(
+                f"{daemon.url()}/{queue}/{job_id}",
+                json=body,
+                headers={"Host": HOST},
+                timeout=aiohttp.ClientTimeout(total=timeout),
+            ) as reply:
+                return reply.status, await reply.json(content_type=None)
+        except CONNECTION_ERRORS:
+            return 0, None
+
+    async def metrics(self, daemon: Daemon):
+        """Return the metrics of a daemon as text."""
+        async with self.session.get(daemon.url(METRICS_PORT) + "/metrics") as reply:
+            return await reply.text()
--- a/packages/testing/carobramp_testing/runner.py
+++ b/packages/testing/carobramp_testing/runner.py
@@ -23,6 +23,7 @@
     "carobramp_daemon",
     "carobramp_cli",
     "carobramp_testing",
+    "carobramp_platform",
 )
 KNOWN_RED = pathlib.Path("KNOWN-RED.txt")
 TEST_PREFIX = "test: "
--- /dev/null
+++ b/packages/testing/carobramp_testing/tests/test_leased.py
@@ -0,0 +1,175 @@
+"""Tests of daemons on the stand-in platform, as separate processes."""
+
+import asyncio
+import signal
+import unittest
+
+from carobramp_testing.builders.jobs import leased_job
+from carobramp_testing.checker import HTTP_OK, overlapping_runs
+from carobramp_testing.leased import LeasedDeployment
+from carobramp_testing.processes import wait_for
+from carobramp_testing.standins.leased import LeasedPlatform
+from carobramp_testing.standins.leased.platform import ROUTES
+
+COMPLETED = (HTTP_OK, {"state": "completed"})
+IN_FORCE_S = 2.0
+UNAVAILABLE = 503
+
+
+class LeasedCase(unittest.IsolatedAsyncioTestCase):
+    """Two zones with two daemons and three upstreams each."""
+
+    async def asyncSetUp(self):
+        """Start the deployment."""
+        self.platform = LeasedPlatform()
+        self.deployment = LeasedDeployment(self.platform)
+        await self.deployment.__aenter__()
+        self.addAsyncCleanup(self.deployment.__aexit__, None, None, None)
+        self.number = 0
+
+    def daemon(self, name="tilburg-0"):
+        """Return a daemon by its name."""
+        return self.deployment.daemons[name]
+
+    async def submit(self, daemon, queue="previews", **fields):
+        """Submit a job under a new id."""
+        self.number += 1
+        body = leased_job(**fields)
+        return await self.deployment.submit(
+            daemon, f"{self.number:016x}", body, queue=queue
+        )
+
+    def assert_no_overlap(self):
+        """Check that no two runs of a task were there at one time."""
+        self.assertEqual(overlapping_runs(self.platform.runs()), [])
+
+    async def other_owner(self, cell, name):
+        """Wait until a cell has another owner."""
+
+        async def changed():
+            owner = self.deployment.owner(cell)
+            return owner is not None and owner.name != name
+
+        await wait_for(changed)
+
+
+class ServingTests(LeasedCase):
+    """Calm days."""
+
+    async def test_every_daemon_serves(self):
+        """Guards against a daemon that cannot reach an owner."""
+        for daemon in self.deployment.daemons.values():
+            self.assertEqual(await self.submit(daemon), COMPLETED)
+        self.assert_no_overlap()
+
+    async def test_wide_job_uses_all_zones(self):
+        """Guards against a job that waits while another zone has room."""
+        answers = await asyncio.gather(
+            *(self.submit(self.daemon(), tasks=8, run_ms=100) for _ in range(2))
+        )
+        self.assertEqual(answers, [COMPLETED] * 2)
+        used = {w.zone for w in self.platform.workers.values() if w.runs}
+        self.assertEqual(used, {"tilburg", "breda"})
+
+    async def test_new_route_is_served_in_time(self):
+        """Guards against a change of the desired state that comes late."""
+        await self.platform.configure({**ROUTES, "stamps": {}})
+        async with asyncio.timeout(IN_FORCE_S):
+            while (await self.submit(self.daemon(), "stamps"))[0] != HTTP_OK:
+                await asyncio.sleep(0.02)
+
+    async def test_metrics_count_what_was_served(self):
+        """Guards against an on-call engineer without figures."""
+        await self.submit(self.daemon())
+        text = await self.deployment.metrics(self.daemon())
+        self.assertIn('carobramp_jobs{kind="completed"} 1', text)
+
+
+class FaultTests(LeasedCase):
+    """Daemons and upstreams that fail."""
+
+    async def test_killed_owner_is_replaced_and_its_runs_go_on(self):
+        """Guards against work that is lost or doubled with its owner."""
+        owner = self.deployment.owner("tilburg")
+        entry = self.daemon("breda-0")
+        jobs = [
+            asyncio.create_task(self.submit(entry, tasks=8, run_ms=1500))
+            for _ in range(1)
+        ]
+        await wait_for(self.something_runs)
+        await owner.end(signal.SIGKILL)
+        await self.other_owner("tilburg", owner.name)
+        self.assertEqual(await asyncio.gather(*jobs), [COMPLETED])
+        self.assert_no_overlap()
+
+    async def something_runs(self):
+        """Whether every zone runs something."""
+        used = {w.zone for w in self.platform.workers.values() if w.running}
+        return used == {"tilburg", "breda"}
+
+    async def test_frozen_owner_wakes_without_harm(self):
+        """Guards against orders of an owner that was replaced while it slept."""
+        owner = self.deployment.owner("tilburg")
+        owner.send_signal(signal.SIGSTOP)
+        await self.other_owner("tilburg", owner.name)
+        job = asyncio.create_task(self.submit(self.daemon("breda-0"), run_ms=300))
+        owner.send_signal(signal.SIGCONT)
+        self.assertEqual(await job, COMPLETED)
+        self.assertEqual(await self.submit(owner), COMPLETED)
+        self.assert_no_overlap()
+
+    async def test_stopped_owner_hands_over_and_cuts_nothing(self):
+        """Guards against requests that a planned stop cuts off."""
+        owner = self.deployment.owner("breda")
+        jobs = [
+            asyncio.create_task(self.submit(owner, tasks=2, run_ms=800))
+            for _ in range(3)
+        ]
+        await wait_for(self.breda_runs)
+        await owner.end(signal.SIGTERM)
+        self.assertEqual(await asyncio.gather(*jobs), [COMPLETED] * 3)
+        self.assertEqual(owner.child.returncode, 0)
+        self.assertEqual({run.how for run in self.platform.runs()}, {"done"})
+
+    async def breda_runs(self):
+        """Whether breda runs three jobs."""
+        workers = [w for w in self.platform.workers.values() if w.zone == "breda"]
+        return sum(len(worker.running) for worker in workers) >= 6
+
+    async def test_owner_keeps_its_entry_after_a_handover(self):
+        """Guards against a new owner whose own callers are refused.
+
+        The link to the former owner closed after the new owner had linked itself,
+        and took that link along: 83 requests of trouble-2 were refused.
+        """
+        owner = self.deployment.owner("tilburg")
+        await owner.end(signal.SIGTERM)
+        await self.other_owner("tilburg", owner.name)
+        successor = self.deployment.owner("tilburg")
+        for worker in self.platform.workers.values():
+            if worker.zone == "breda":
+                worker.faults.silent = True
+        await asyncio.sleep(1.0)
+        self.assertEqual(await self.submit(successor, tasks=1), COMPLETED)
+
+    async def test_late_orders_do_no_harm(self):
+        """Guards against starts that are carried out after their task ran elsewhere."""
+        late = self.platform.workers["i-tilburg-0"]
+        late.faults.late_s = 1.6
+        for _ in range(4):
+            await self.submit(self.daemon(), run_ms=200)
+        await asyncio.sleep(2.0)
+        self.assert_no_overlap()
+        self.assertEqual([run for run in late.runs if run.ended_at is None], [])
+
+    async def test_store_outage_is_outlived(self):
+        """Guards against requests that wait for the store."""
+        self.platform.store.faults.status = UNAVAILABLE
+        for daemon in self.deployment.daemons.values():
+            self.assertEqual(await self.submit(daemon), COMPLETED)
+        self.platform.store.faults.status = 0
+        self.platform.store.forget_history()
+        await self.platform.configure({**ROUTES, "stamps": {}})
+        async with asyncio.timeout(2 * IN_FORCE_S):
+            while (await self.submit(self.daemon(), "stamps"))[0] != HTTP_OK:
+                await asyncio.sleep(0.02)
