Offer tasks to a new owner before its first report of room

Ruled out: the change to frames; the first report leaves before the first hold is answered in both forms.

Change: a cell without a report is tried; a test of the decision.

--- a/packages/core/carobramp_core/cells/entry.py
+++ b/packages/core/carobramp_core/cells/entry.py
@@ -147,6 +147,10 @@
     total_cpu: int = 0
     waiting_s: float = 0.0
 
+    def may_have_room(self, job: Job):
+        """Whether the last report names room for a task, or is not there yet."""
+        return self.free_cpu >= job.cpu or not self.total_cpu
+
     def backlog(self):
         """Return the waiting time per core, for comparison between cells."""
         return self.waiting_s / max(1, self.total_cpu)
@@ -193,7 +197,7 @@
         with_room = [
             name
             for name in order
-            if name == self.home or self.cells[name].free_cpu >= state.job.cpu
+            if name == self.home or self.cells[name].may_have_room(state.job)
         ]
         if with_room:
             self.send_offer(state, with_room[0], indexes, now, effects)
--- a/packages/core/carobramp_core/cells/tests/test_entry.py
+++ b/packages/core/carobramp_core/cells/tests/test_entry.py
@@ -86,6 +86,15 @@
         self.assertEqual((cell, offer.indexes), ("breda", (1, 2)))
         self.assertTrue(offer.committed)
 
+    def test_new_owner_is_tried_before_its_first_report(self):
+        """Guards against a cell that seems full until its owner reports room."""
+        self.handle(OwnerLost("breda", self.now))
+        self.handle(OwnerFound("breda", 2))
+        self.submit()
+        returned = Returned(JOB_ID, (0, 1), ReturnReason.NO_ROOM)
+        ((cell, offer),) = offers(self.tell("tilburg", returned))
+        self.assertEqual((cell, offer.may_wait), ("breda", False))
+
     def test_answer_needs_every_task(self):
         """Guards against an answer that is only a part."""
         self.submit()
