Bridge the moments without an owner or a list of upstreams

Ruled out: the claim itself, which took one transaction.

Change: a handover carries the list, a takeover uses the one that was read for the probe, and offers wait until the first list; a job waits a quarter of its objective for an owner; a job that cannot be in time any more is given up as soon as its owner is lost. Each has a test.

--- a/packages/core/carobramp_core/cells/entry.py
+++ b/packages/core/carobramp_core/cells/entry.py
@@ -36,6 +36,9 @@
 from carobramp_core.cells.orders import Note
 
 RETRY_AFTER_S = 1.0
+# Part of the objective for which a job waits for an owner to be found. A refusal
+# after a longer wait leaves its caller too little time to ask elsewhere.
+OWNER_WAIT_PART = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,6 +124,7 @@
     offered : cells with the tasks that were offered there and not returned
     tried : cells that had no room since the last round of offers
     started : whether a task may have started
+    unoffered : tasks that wait until an owner is found
     """
 
     job: Job
@@ -132,6 +136,12 @@
     done: set[int] = dataclasses.field(default_factory=set)
     failures: dict[int, int] = dataclasses.field(default_factory=dict)
     started: bool = False
+    unoffered: set[int] = dataclasses.field(default_factory=set)
+
+    def owner_wait_s(self):
+        """Return the age up to which the job waits for an owner to be found."""
+        objective_s = self.job.objective_s(self.job.estimate_ms)
+        return OWNER_WAIT_PART * objective_s
 
     def committed(self):
         """Whether a task may have run or may still start."""
@@ -191,7 +201,7 @@
     def offer(self, state: OpenJob, indexes, now, effects):
         """Offer tasks to the next cell, or let them wait at the least loaded one."""
         if not self.cells:
-            self.refuse(state, RefusalReason.NO_OWNER, RETRY_AFTER_S, now, effects)
+            state.unoffered.update(indexes)
             return
         order = self.cell_order(state.tried)
         with_room = [
@@ -277,6 +287,9 @@
             entry.send_offer(
                 state, event.cell, lost.indexes, now, effects, True, resumed=True
             )
+        if state.unoffered:
+            indexes, state.unoffered = state.unoffered, set()
+            entry.offer(state, indexes, now, effects)
 
 
 @on_event.register
@@ -297,6 +310,15 @@
 @on_event.register
 def _(event: EntryTick, entry: Entry, now, effects):
     for state in list(entry.jobs.values()):
+        age_s = now - state.received_at
+        if state.unoffered and age_s > state.owner_wait_s():
+            reason = RefusalReason.NO_OWNER
+            entry.refuse(state, reason, RETRY_AFTER_S, now, effects)
+            continue
+        if state.lost and age_s > state.job.useless_after_s():
+            # The caller may ask again: the runs are over before it does.
+            entry.end(state, Interrupted(RefusalReason.OWNER_LOST), now, effects)
+            continue
         over = [item for item in state.lost if now >= item.over_at]
         for lost in over:
             state.lost.remove(lost)
--- a/packages/core/carobramp_core/cells/messages.py
+++ b/packages/core/carobramp_core/cells/messages.py
@@ -3,6 +3,9 @@
 import dataclasses
 import enum
 
+# Multiple of the objective after which an answer is of no use to the caller.
+LATE_FACTOR = 3.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Job:
@@ -38,6 +41,11 @@
     target_ms: float = 0.0
     max_attempts: int = 1
 
+    def useless_after_s(self) -> float:
+        """Return the age at which a task that has to start anew is of no use."""
+        late_s = LATE_FACTOR * self.objective_s(self.estimate_ms)
+        return late_s - self.estimate_ms / 1000
+
     def objective_s(self, run_ms) -> float:
         """Return the response time in seconds up to which the job is on time."""
         return (self.stretch * run_ms + self.target_ms) / 1000
@@ -159,7 +167,7 @@
     OVERLOADED = "overloaded"
     NO_OWNER = "no_owner"
     NO_SERVICE = "no_service"
-    TIMED_OUT = "timed_out"
+    OWNER_LOST = "owner_lost"
     INTERRUPTED = "interrupted"
     CALLER_GONE = "caller_gone"
     UNKNOWN_ROUTE = "unknown_route"
--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -88,6 +88,7 @@
         self.taken_over = taken_over
         self.run_number = token * RUNS_PER_TOKEN
         self.upstreams: dict[str, Upstream] = {}
+        self.listed = False
         self.services: dict[str, list[Upstream]] = {}
         self.waiting: list[Waiting] = []
         # Offers of tasks that an earlier owner may have started.
@@ -294,8 +295,7 @@
     def admit(self, entry, offer: Offer, indexes, received_at, now, effects):
         """Queue tasks; return those without room or without use."""
         job = offer.job
-        members = self.services.get(job.service, ())
-        if not members:
+        if self.listed and not self.services.get(job.service):
             reason = ReturnReason.NO_SERVICE
             effects.append(Send(entry, Returned(job.job_id, tuple(indexes), reason)))
             return
@@ -455,6 +455,7 @@
 
 @on_event.register
 def _(event: Listed, owner: CellOwner, now, effects):
+    owner.listed = True
     listed = {upstream.name: upstream for upstream in event.upstreams}
     for name, item in listed.items():
         upstream = owner.upstreams.get(name)
--- a/packages/core/carobramp_core/cells/placement.py
+++ b/packages/core/carobramp_core/cells/placement.py
@@ -13,11 +13,9 @@
 import dataclasses
 import math
 
-from carobramp_core.cells.messages import Job
+from carobramp_core.cells.messages import LATE_FACTOR, Job
 from carobramp_core.cells.upstreams import Upstream
 
-# Multiple of the objective after which an answer is worth nothing to the caller.
-LATE_FACTOR = 3.0
 # Part of the cores that waiting tasks get in practice, as tasks do not fill an
 # upstream exactly: two of 6.8 cores occupy 13.6 of 16.
 PACKING = 0.8
--- a/packages/core/carobramp_core/cells/tests/test_entry.py
+++ b/packages/core/carobramp_core/cells/tests/test_entry.py
@@ -19,6 +19,7 @@
     Failed,
     Interrupted,
     Offer,
+    RefusalReason,
     Refused,
     Returned,
     ReturnReason,
@@ -158,14 +159,35 @@
 
     def test_lost_owner_leaves_the_fate_open(self):
         """Guards against "not run" after the link to an owner was lost."""
-        self.submit()
+        self.submit(target_ms=2000)
         self.handle(OwnerLost("tilburg", self.now))
         self.handle(OwnerLost("breda", self.now))
         self.now += LIMITS.abandoned_s() + 0.1
+        self.handle(EntryTick())
         (outcome,) = answers(self.handle(EntryTick()))
         self.assertIsInstance(outcome, Interrupted)
 
 
+class NoOwnerTests(unittest.TestCase):
+    """An entry that has found no owner yet."""
+
+    def setUp(self):
+        """Bring about the situation of these tests."""
+        self.entry = Entry("tilburg", LIMITS)
+        self.effects = self.entry.handle(JobReceived(job(JOB_ID)), 50.0)
+
+    def test_job_waits_for_an_owner(self):
+        """Guards against refusals in the first moments after a start."""
+        self.assertEqual(self.effects, [])
+        ((cell, _),) = offers(self.entry.handle(OwnerFound("tilburg", 1), 50.04))
+        self.assertEqual(cell, "tilburg")
+
+    def test_refusal_comes_while_the_caller_has_time(self):
+        """Guards against a refusal that comes too late to ask elsewhere."""
+        (outcome,) = answers(self.entry.handle(EntryTick(), 50.06))
+        self.assertEqual(outcome, Refused(RefusalReason.NO_OWNER, 1.0))
+
+
 class OwnerLossTests(EntryCase):
     """Owners that are lost while their tasks run."""
 
@@ -177,9 +199,26 @@
         ((cell, offer),) = offers(effects)
         self.assertEqual((cell, offer.resumed), ("tilburg", True))
 
+    def test_useless_job_is_given_up_at_once(self):
+        """Guards against callers that wait for a job which nobody can finish in time.
+
+        On inc-2b23 of rl-plates nine callers waited 1.3 s for a failure.
+        """
+        self.submit()
+        self.now += LIMITS.link_silence_s
+        self.handle(OwnerLost("tilburg", self.now - LIMITS.link_silence_s))
+        self.now += 0.2
+        (outcome,) = answers(self.handle(EntryTick()))
+        self.assertEqual(outcome, Interrupted(RefusalReason.OWNER_LOST))
+
+    def test_caller_that_was_given_up_asks_after_its_runs_are_over(self):
+        """Guards against two runs when the caller asks again."""
+        useless_s = job().useless_after_s()
+        self.assertLess(LIMITS.abandoned_s(), useless_s + LIMITS.resend_s)
+
     def test_elsewhere_only_when_the_runs_are_over(self):
         """Guards against two runs of a task on both sides of a cut."""
-        self.submit()
+        self.submit(target_ms=2000)
         self.handle(OwnerLost("tilburg", self.now))
         self.now += LIMITS.lapse_s()
         self.assertEqual(offers(self.handle(EntryTick())), [])
--- a/packages/core/carobramp_core/cells/tests/test_owner.py
+++ b/packages/core/carobramp_core/cells/tests/test_owner.py
@@ -167,6 +167,23 @@
         self.assertEqual(starts(bench.offer(job("0" * 16))), [])
 
 
+class UnlistedTests(unittest.TestCase):
+    """An owner that has not read the list of upstreams yet."""
+
+    def test_offer_is_not_refused(self):
+        """Guards against refusals between a handover and the first list.
+
+        On inc-2b23 of rl-plates eight jobs were refused with no_service while the
+        store was slow and all upstreams were free.
+        """
+        bench = OwnerBench()
+        bench.owner.listed = False
+        self.assertEqual(messages(bench.offer(job()), Returned), [])
+        bench.clocks["i-1"] = 5000
+        bench.handle(Listed((upstream(),)))
+        self.assertEqual(len(starts(bench.answer_hold())), 1)
+
+
 class EntryTests(unittest.TestCase):
     """Entries that leave and come back."""
 
--- a/packages/daemon/carobramp_daemon/cells/fleet.py
+++ b/packages/daemon/carobramp_daemon/cells/fleet.py
@@ -30,6 +30,7 @@
 )
 from carobramp_daemon.cells.clock import now
 from carobramp_daemon.cells.entry import EntryService
+from carobramp_daemon.cells.frames import decode_upstream, encode_upstream
 from carobramp_daemon.cells.links import EntryLinks, LocalLink, RemoteLink
 from carobramp_daemon.cells.owner import OwnerService
 from carobramp_schema.generated import cells_grpc
@@ -88,11 +89,13 @@
 
     silent_since : time since which no owner is heard; None while one is
     link : link to a remote owner, while one is open
+    listed : upstreams as last listed, with which a takeover begins at once
     """
 
     name: str
     silent_since: float | None
     link: RemoteLink | None = None
+    listed: tuple = ()
 
 
 class FleetService(Service, cells_grpc.CellsBase):
@@ -312,6 +315,7 @@
         listed = await self.upstream_list.read()
         if isinstance(listed, Unavailable):
             return False
+        self.cells[cell].listed = listed
         members = [u for u in listed if u.availability_zone == cell]
         if not members:
             # Nothing can be gained, and entries may have expired behind a cut.
@@ -390,6 +394,8 @@
         to_entry = LocalLink(lambda m: self.entry_service.take(state.name, m))
         to_owner = LocalLink(lambda m: service.take(self.me.vm, m))
         service.local_links = (to_entry, to_owner)
+        if state.listed:
+            service.list_upstreams(state.listed)
         asyncio.create_task(self.run_owner(service, to_entry, to_owner))
 
     async def run_owner(self, service: OwnerService, to_entry, to_owner):
@@ -446,17 +452,22 @@
             others = [vm for vm in self.vms().values() if vm.vm != self.me.vm]
             others.sort(key=lambda vm: (vm.availability_zone != cell, vm.vm))
             for vm in others:
-                if await self.give(cell, vm):
+                if await self.give(service, vm):
                     self.log_line.info("handed over", cell=cell, to=vm.vm)
                     self.disown(service)
                     break
 
-    async def give(self, cell, vm: VmRow) -> bool:
+    async def give(self, service: OwnerService, vm: VmRow) -> bool:
         """Ask one daemon to take over a cell."""
         channel = Channel(vm.host, vm.port)
         try:
             async with asyncio.timeout(HANDOVER_S):
-                request = pb.TakeOver(cell=cell, vm=self.me.vm)
+                listed = [u.listed for u in service.owner.upstreams.values()]
+                request = pb.TakeOver(
+                    cell=service.owner.cell,
+                    vm=self.me.vm,
+                    upstreams=map(encode_upstream, listed),
+                )
                 reply = await cells_grpc.CellsStub(channel).TakeCell(request)
             return reply.taken
         except CALL_ERRORS:
@@ -490,5 +501,6 @@
         if state is not None and not self.leaving and self.table.loaded():
             row, version = self.cell_row(request.cell)
             if row is not None and row.vm == request.vm:
+                state.listed = tuple(map(decode_upstream, request.upstreams))
                 taken = await self.claim(state, row, version)
         await stream.send_message(pb.TakeOverReply(taken=taken))
--- a/packages/daemon/carobramp_daemon/cells/frames.py
+++ b/packages/daemon/carobramp_daemon/cells/frames.py
@@ -1,5 +1,6 @@
 """Frames of a link between an entry and an owner, from and to messages."""
 
+import dataclasses
 import functools
 from collections.abc import Callable
 
@@ -15,6 +16,7 @@
     TaskEnded,
     TaskResult,
 )
+from carobramp_core.cells.orders import ListedUpstream, UpstreamState
 from carobramp_schema.generated import cells_pb2 as pb
 
 JOB_FIELDS = (
@@ -141,6 +143,22 @@
     return Room(room.cell, room.token, room.free_cpu, room.total_cpu, room.waiting_s)
 
 
+def encode_upstream(upstream: ListedUpstream) -> pb.UpstreamEntry:
+    """Return the entry of an upstream."""
+    return pb.UpstreamEntry(**dataclasses.asdict(upstream))
+
+
+def decode_upstream(entry: pb.UpstreamEntry) -> ListedUpstream:
+    """Return the upstream of an entry."""
+    fields = {
+        field.name: getattr(entry, field.name)
+        for field in dataclasses.fields(ListedUpstream)
+    }
+    fields["state"] = UpstreamState(entry.state)
+    fields["labels"] = tuple(entry.labels)
+    return ListedUpstream(**fields)
+
+
 DECODERS: dict[str, Callable] = {
     "offer": decode_offer,
     "cancel": lambda cancel: Cancel(cancel.job_id),
--- a/packages/daemon/carobramp_daemon/cells/owner.py
+++ b/packages/daemon/carobramp_daemon/cells/owner.py
@@ -138,8 +138,18 @@
         self.metrics.count("task_stops", type(outcome).__name__)
         self.dispatch(StopAnswered(order, outcome, sent_at))
 
+    def list_upstreams(self, upstreams):
+        """Take the list of upstreams, and hold the new ones."""
+        cell = self.owner.cell
+        own = tuple(u for u in upstreams if u.availability_zone == cell)
+        known = self.owner.members()
+        self.dispatch(Listed(own))
+        self.start_holders()
+        if self.owner.members() != known:
+            self.send_members()
+
     async def on_start(self):
-        """Read the list before the first tick."""
+        """Tell that the cell is owned."""
         self.log_line.info("owns", cell=self.owner.cell, token=self.owner.token)
 
     async def on_stop(self):
@@ -154,13 +164,7 @@
         while not self.should_stop:
             listed = await self.upstream_list.read()
             if not isinstance(listed, Unavailable):
-                cell = self.owner.cell
-                own = tuple(u for u in listed if u.availability_zone == cell)
-                known = self.owner.members()
-                self.dispatch(Listed(own))
-                self.start_holders()
-                if self.owner.members() != known:
-                    self.send_members()
+                self.list_upstreams(listed)
             await self.sleep(LIST_INTERVAL_S)
 
     def send_members(self):
