Log the inputs of each decision, within a bound

Cause: a line for each start told neither why nor how old its inputs were, and nothing bounded the volume or kept a slow reader from blocking.

--- a/packages/core/carobramp_core/cells/entry.py
+++ b/packages/core/carobramp_core/cells/entry.py
@@ -99,6 +99,7 @@
     job_id: str
     outcome: Outcome
     age_s: float
+    queue: str = ""
 
 
 EntryEvent = JobReceived | CallerGone | OwnerFound | OwnerLost | FromOwner | EntryTick
@@ -156,6 +157,7 @@
     free_cpu: int = 0
     total_cpu: int = 0
     waiting_s: float = 0.0
+    reported_at: float = 0.0
 
     def may_have_room(self, job: Job):
         """Whether the last report names room for a task, or is not there yet."""
@@ -239,6 +241,17 @@
         )
         state.offered.setdefault(cell, set()).update(indexes)
         effects.append(SendToOwner(cell, offer))
+        known = self.cells[cell]
+        note = {
+            "job_id": state.job.job_id,
+            "cell": cell,
+            "tasks": len(indexes),
+            "may_wait": may_wait,
+            "resumed": resumed,
+            "free_cpu": known.free_cpu,
+            "report_age_ms": round((now - known.reported_at) * 1000),
+        }
+        effects.append(Note("offered", note))
 
     def refuse(self, state: OpenJob, reason, retry_after_s, now, effects):
         """End a job without a result; say "not run" only if that is certain."""
@@ -254,7 +267,7 @@
             if indexes and cell in self.cells:
                 effects.append(SendToOwner(cell, Cancel(state.job.job_id)))
         age_s = now - state.received_at
-        effects.append(Answer(state.job.job_id, outcome, age_s))
+        effects.append(Answer(state.job.job_id, outcome, age_s, state.job.queue))
 
 
 @functools.singledispatch
@@ -280,7 +293,7 @@
 
 @on_event.register
 def _(event: OwnerFound, entry: Entry, now, effects):
-    entry.cells[event.cell] = Cell(event.token)
+    entry.cells[event.cell] = Cell(event.token, reported_at=now)
     for state in list(entry.jobs.values()):
         for lost in [item for item in state.lost if item.cell == event.cell]:
             state.lost.remove(lost)
@@ -345,6 +358,7 @@
         known.free_cpu = message.free_cpu
         known.total_cpu = message.total_cpu
         known.waiting_s = message.waiting_s
+        known.reported_at = now
 
 
 @on_message.register
@@ -396,6 +410,14 @@
         if len(state.done) == state.job.tasks:
             entry.end(state, Completed(), now, effects)
         return
+    note = {
+        "job_id": message.job_id,
+        "index": message.index,
+        "result": message.result,
+        "upstream": message.upstream,
+        "cell": cell,
+    }
+    effects.append(Note("task to run again", note))
     if message.result == TaskResult.FAILED:
         failures = state.failures.get(message.index, 0) + 1
         state.failures[message.index] = failures
--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -156,8 +156,8 @@
             self.run_times[queue] = RunTimes(DEFAULT_RUN_MS)
         return self.run_times[queue]
 
-    def start(self, task: Waiting, upstream: Upstream, now, effects):
-        """Order an upstream to start a task."""
+    def start(self, task: Waiting, upstream: Upstream, now, effects) -> RunId:
+        """Order an upstream to start a task; return the id of the run."""
         self.run_number += 1
         run_id = RunId(task.job.job_id, task.index, self.run_number)
         run = Run(
@@ -184,6 +184,7 @@
                 timeout_s=self.limits.order_timeout_s,
             )
         )
+        return run_id
 
     def track(self, run: Run):
         """Index a run by its task and job."""
@@ -263,11 +264,30 @@
             if upstream is None:
                 left.append(task)
                 continue
-            self.start(task, upstream, now, effects)
-            started.setdefault((task.entry, task.job.job_id), []).append(task.index)
+            run_id = self.start(task, upstream, now, effects)
+            started.setdefault((task.entry, task.job.job_id), []).append(
+                (task, upstream, run_id)
+            )
         self.waiting = left
-        for (entry, job_id), indexes in started.items():
-            effects.append(Send(entry, Started(job_id, tuple(indexes))))
+        for (entry, job_id), placed in started.items():
+            indexes = tuple(task.index for task, _, _ in placed)
+            effects.append(Send(entry, Started(job_id, indexes)))
+            effects.append(self.placement_note(job_id, placed, now))
+
+    def placement_note(self, job_id, placed, now) -> Note:
+        """Return the log line of tasks that start, with what decided it."""
+        first, _, run_id = placed[0]
+        runs = " ".join(f"{task.index}@{upstream.name}" for task, upstream, _ in placed)
+        fields = {
+            "job_id": job_id,
+            "runs": runs,
+            "first_run": run_id.run,
+            "age_ms": round((now - first.received_at) * MS),
+            "expected_ms": round(first.expected_s * MS),
+            "waiting": len(self.waiting),
+            "token": self.token,
+        }
+        return Note("tasks started", fields)
 
     def take_offer(self, entry, offer: Offer, now, effects):
         """Take over the tasks of an offer, or return them."""
@@ -329,6 +349,15 @@
         indexes = tuple(task.index for task in tasks)
         retry_after = max(RETRY_AFTER_MIN_S, delay)
         effects.append(Send(entry, Returned(job_id, indexes, reason, retry_after)))
+        if reason != ReturnReason.NO_ROOM:
+            note = {
+                "job_id": job_id,
+                "tasks": len(indexes),
+                "reason": reason,
+                "delay_s": round(delay, 3),
+                "waiting": len(self.waiting),
+            }
+            effects.append(Note("tasks returned", note))
 
     def total_cpu(self, service, now):
         """Return the cores of the usable upstreams of a service, in thousandths."""
--- a/packages/core/carobramp_core/cells/tests/test_entry.py
+++ b/packages/core/carobramp_core/cells/tests/test_entry.py
@@ -54,7 +54,8 @@
 
     def submit(self, tasks=2, **fields):
         """Submit a job and return its only offer."""
-        (send,) = self.handle(JobReceived(job(JOB_ID, tasks, **fields)))
+        effects = self.handle(JobReceived(job(JOB_ID, tasks, **fields)))
+        (send,) = [effect for effect in effects if isinstance(effect, SendToOwner)]
         return send
 
     def end(self, cell, index, result=TaskResult.DONE, upstream="i-1"):
--- a/packages/daemon/carobramp_daemon/cells/entry.py
+++ b/packages/daemon/carobramp_daemon/cells/entry.py
@@ -110,6 +110,7 @@
         self.log_line.info(
             "job ended",
             job_id=effect.job_id,
+            queue=effect.queue,
             outcome=kind,
             reason=reason,
             ms=round(effect.age_s * 1000),
--- a/packages/daemon/carobramp_daemon/cells/owner.py
+++ b/packages/daemon/carobramp_daemon/cells/owner.py
@@ -121,14 +121,6 @@
         """Send a start order."""
         sent_at = now()
         outcome = await self.orders.start(order)
-        self.log_line.info(
-            "start",
-            job_id=order.run_id.job_id,
-            index=order.run_id.index,
-            upstream=order.upstream,
-            run=order.run_id.run,
-            outcome=type(outcome).__name__,
-        )
         self.dispatch(StartAnswered(order, outcome, sent_at))
 
     async def stop_run(self, order: StopOrder):
--- a/packages/daemon/carobramp_daemon/logs.py
+++ b/packages/daemon/carobramp_daemon/logs.py
@@ -1,12 +1,20 @@
 """Log lines by eliot: short sentences with a fixed prefix for each part."""
 
 import logging
+import os
+import select
 import sys
+import time
 import traceback
 
 import eliot
 
 DETAIL_MAX_CHARS = 500
+# About ten times the lines of a daemon with 20 jobs a second; more would take over
+# a tenth of a core.
+LINES_PER_S = 1000
+# A pipe that is writable takes at least this much without blocking.
+LINE_MAX_BYTES = 4096
 PREFIXES = (
     "api",
     "submission",
@@ -82,7 +90,65 @@
     logging.basicConfig(handlers=[LibraryHandler(vm)])
 
 
-def log_to_stdout(vm):
-    """Send log lines to standard output, one JSON object a line."""
-    eliot.to_file(sys.stdout)
+class BoundedOutput:
+    """Output for log lines that neither blocks nor grows with the load.
+
+    Lines beyond the rate, and lines for a reader that does not read, are dropped
+    and counted; the next line that is written says how many.
+
+    Parameters
+    ==========
+
+    descriptor : file descriptor to write to
+    lines_per_s : rate that is kept up; a burst of one second's lines may go before
+    on_dropped : called with the number of dropped lines, before the next line
+    """
+
+    def __init__(self, descriptor, lines_per_s, on_dropped):
+        self.descriptor = descriptor
+        self.lines_per_s = lines_per_s
+        self.on_dropped = on_dropped
+        self.allowed = float(lines_per_s)
+        self.refilled_at = time.monotonic()
+        self.dropped = 0
+
+    def write(self, text):
+        """Write one line, or drop it."""
+        data = text.encode() if isinstance(text, str) else text
+        if not data:
+            return
+        self.refill(time.monotonic())
+        if self.allowed < 1 or not self.writable():
+            self.dropped += 1
+            return
+        self.allowed -= 1
+        if self.dropped:
+            dropped, self.dropped = self.dropped, 0
+            self.on_dropped(dropped)
+        os.write(self.descriptor, data[:LINE_MAX_BYTES])
+
+    def refill(self, now):
+        """Allow the lines of the time that has passed."""
+        allowed = self.allowed + (now - self.refilled_at) * self.lines_per_s
+        self.allowed = min(float(self.lines_per_s), allowed)
+        self.refilled_at = now
+
+    def writable(self):
+        """Whether a line of `LINE_MAX_BYTES` can be written without waiting."""
+        return bool(select.select([], [self.descriptor], [], 0)[1])
+
+    def flush(self):
+        """Do nothing: lines are written at once."""
+
+
+def log_to_stdout(vm, on_dropped):
+    """Send log lines to standard output, within a bound on their rate.
+
+    Parameters
+    ==========
+
+    on_dropped : called with the number of lines that were dropped
+    """
+    output = BoundedOutput(sys.stdout.fileno(), LINES_PER_S, on_dropped)
+    eliot.add_destinations(eliot.FileDestination(file=output))
     logging.basicConfig(handlers=[LibraryHandler(vm)])
