Add a fault soak of daemons on the stand-in platform

Change: a seeded schedule of kills, stops, pauses, cuts and resets of relays, upstreams that fail, hang, restart or act late, and a store that is busy, silent, slow, forgetful or loses answers; callers that send jobs again; checks of doubled runs, false refusals, completions and recovery.

--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -67,6 +67,8 @@
 PLACED_PER_PASS = 64
 RETRY_AFTER_MIN_S = 0.5
 MS = 1000
+# Refusals after which the upstream gets nothing for a moment.
+BACKOFF_REFUSALS = (Refusal.NO_ROOM, Refusal.UNHEALTHY, Refusal.LATE)
 
 
 class CellOwner:
@@ -661,7 +663,7 @@
     if outcome.refusal == Refusal.FENCED:
         depose(owner, upstream, effects)
         return
-    if outcome.refusal in (Refusal.NO_ROOM, Refusal.UNHEALTHY):
+    if outcome.refusal in BACKOFF_REFUSALS:
         upstream.no_room(now)
     note = {
         "upstream": upstream.name,
--- a/packages/daemon/carobramp_daemon/cells/fleet.py
+++ b/packages/daemon/carobramp_daemon/cells/fleet.py
@@ -24,6 +24,7 @@
 from carobramp_core.platform import (
     Committed,
     Condition,
+    Row,
     Transaction,
     Unavailable,
     Write,
@@ -33,6 +34,7 @@
 from carobramp_daemon.cells.frames import decode_upstream, encode_upstream
 from carobramp_daemon.cells.links import EntryLinks, LocalLink, RemoteLink
 from carobramp_daemon.cells.owner import OwnerService
+from carobramp_daemon.cells.tasks import spawn
 from carobramp_schema.generated import cells_grpc
 from carobramp_schema.generated import cells_pb2 as pb
 
@@ -147,17 +149,26 @@
         row = self.table.rows().get(CELL_PREFIX + cell)
         if row is None:
             return None, 0
-        return msgspec.json.decode(row.value, type=CellRow), row.version
+        return self.decode(row, CellRow), row.version
 
     def vms(self) -> dict[str, VmRow]:
         """Return the daemons that have announced themselves."""
         rows = self.table.rows()
         decoded = [
-            msgspec.json.decode(row.value, type=VmRow)
+            self.decode(row, VmRow)
             for key, row in rows.items()
             if key.startswith(VM_PREFIX)
         ]
-        return {row.vm: row for row in decoded}
+        return {row.vm: row for row in decoded if row is not None}
+
+    def decode(self, row: Row, kind):
+        """Return the content of a row, or None if it is not usable."""
+        try:
+            return msgspec.json.decode(row.value, type=kind)
+        except msgspec.DecodeError as error:
+            self.metrics.count("platform_invalid", "fleet")
+            self.log_line.info("row not usable", key=row.key, detail=str(error))
+            return None
 
     @Service.task
     async def announce(self):
@@ -396,11 +407,11 @@
         service.local_links = (to_entry, to_owner)
         if state.listed:
             service.list_upstreams(state.listed)
-        asyncio.create_task(self.run_owner(service, to_entry, to_owner))
+        spawn(self, self.run_owner(service, to_entry, to_owner))
 
     async def run_owner(self, service: OwnerService, to_entry, to_owner):
         """Start an owner and link the entry of this process to it."""
-        await service.start()
+        await self.add_runtime_dependency(service)
         service.connect(self.me.vm, to_entry)
         cell, token = service.owner.cell, service.owner.token
         if self.owned.get(cell) is service:
@@ -425,7 +436,12 @@
         for link in service.local_links:
             link.open = False
         self.entry_service.owner_lost(cell, service.local_links[1], now())
-        asyncio.create_task(service.stop())
+        spawn(self, self.stop_owner(service))
+
+    async def stop_owner(self, service: OwnerService):
+        """Stop an owner and forget it."""
+        await service.stop()
+        await self.remove_dependency(service)
 
     @Service.task
     async def check_links(self):
--- a/packages/daemon/carobramp_daemon/cells/owner.py
+++ b/packages/daemon/carobramp_daemon/cells/owner.py
@@ -28,6 +28,7 @@
 from carobramp_daemon.cells import frames
 from carobramp_daemon.cells.clock import now
 from carobramp_daemon.cells.links import FrameLink, pack
+from carobramp_daemon.cells.tasks import spawn
 
 TICK_S = 0.05
 # A draining upstream must be known well within the two seconds that the platform
@@ -113,7 +114,7 @@
 
     def spawn(self, coroutine):
         """Run a call beside the others."""
-        call = asyncio.create_task(coroutine)
+        call = spawn(self, coroutine)
         self.calls.add(call)
         call.add_done_callback(self.calls.discard)
 
@@ -168,7 +169,7 @@
         """Start a task for each upstream that has none."""
         for name in self.owner.upstreams:
             if name not in self.holders:
-                self.holders[name] = asyncio.create_task(self.hold_upstream(name))
+                self.holders[name] = spawn(self, self.hold_upstream(name))
 
     async def hold_upstream(self, name):
         """Hold one upstream until it is gone."""
--- /dev/null
+++ b/packages/testing/carobramp_testing/chaos/leased.py
@@ -0,0 +1,274 @@
+"""Fault soak of daemons on the stand-in of the users' platform.
+
+Explanation
+===========
+
+Real daemons run as separate processes. A schedule drawn from a seed stops, pauses,
+kills and restarts them, cuts their relays to the store and to the upstreams, resets
+or delays what the relays hold, and lets the store and the upstreams misbehave; faults
+overlap and come in series. Callers keep their connections, and send a job again after
+a broken answer, at any daemon. The checks use only what callers and upstreams saw.
+
+Run as ``python -m carobramp_testing.chaos.leased --seed=1 --seconds=60``.
+"""
+
+import argparse
+import asyncio
+import collections
+import dataclasses
+import random
+import signal
+import sys
+
+from carobramp_testing.builders.jobs import leased_job
+from carobramp_testing.checker import HTTP_OK, overlapping_runs
+from carobramp_testing.leased import LeasedDeployment
+from carobramp_testing.processes import wait_for
+from carobramp_testing.standins.leased import LeasedPlatform
+from carobramp_testing.standins.leased.platform import ROUTES
+
+JOBS_PER_S = 12
+RESEND_S = 1.3
+REFUSED = 503
+BROKEN = (0, 502, 504)
+MAX_TRIES = 4
+OWNER_SHARE = 0.5
+FAULT_GAP_S = (0.2, 1.5)
+FAULT_S = (0.3, 4.0)
+# Time after the last fault within which every daemon serves again.
+RECOVER_S = 12.0
+KINDS = (
+    "kill",
+    "stop",
+    "pause",
+    "cut_store",
+    "reset_store",
+    "cut_worker",
+    "late_worker",
+    "fail_worker",
+    "hang_worker",
+    "restart_worker",
+    "store_busy",
+    "store_silent",
+    "store_slow",
+    "store_loses",
+    "store_forgets",
+    "configure",
+)
+
+
+@dataclasses.dataclass
+class JobRecord:
+    """A job as its caller saw it."""
+
+    job_id: str
+    tasks: int
+    statuses: list[int] = dataclasses.field(default_factory=list)
+    states: list[str] = dataclasses.field(default_factory=list)
+
+
+class LeasedChaos:
+    """One run of the soak.
+
+    Parameters
+    ==========
+
+    seed : draws the faults and the jobs
+    seconds : time during which faults begin
+    """
+
+    def __init__(self, seed, seconds, workers=4, daemons=2):
+        self.rng = random.Random(seed)
+        self.seconds = seconds
+        self.platform = LeasedPlatform(workers=workers)
+        self.deployment = LeasedDeployment(self.platform, daemons, relays=True)
+        self.jobs: list[JobRecord] = []
+        self.faults = collections.Counter()
+        self.running: set[asyncio.Task] = set()
+
+    async def run(self) -> list[str]:
+        """Run callers and faults; return the violations."""
+        async with self.deployment:
+            loop = asyncio.get_running_loop()
+            callers = asyncio.create_task(self.call())
+            end = loop.time() + self.seconds
+            while loop.time() < end:
+                self.spawn(self.fault(self.rng.choice(KINDS)))
+                await asyncio.sleep(self.rng.uniform(*FAULT_GAP_S))
+            callers.cancel()
+            await asyncio.gather(*self.running)
+            return [*await self.check_recovery(), *self.check_runs()]
+
+    def spawn(self, coroutine):
+        """Run something beside the rest; `run` waits for it."""
+        task = asyncio.create_task(coroutine)
+        self.running.add(task)
+        task.add_done_callback(self.running.discard)
+
+    async def call(self):
+        """Submit jobs at a steady rate."""
+        while True:
+            await asyncio.sleep(1 / JOBS_PER_S)
+            record = JobRecord(f"{len(self.jobs):016x}", self.rng.randint(1, 4))
+            self.jobs.append(record)
+            self.spawn(self.submit(record))
+
+    async def submit(self, record: JobRecord):
+        """Submit a job until it has an answer or too many tries."""
+        body = leased_job(record.tasks, run_ms=self.rng.choice((50, 200, 900)))
+        for _ in range(MAX_TRIES):
+            daemon = self.rng.choice(list(self.deployment.daemons.values()))
+            status, answer = await self.deployment.submit(daemon, record.job_id, body)
+            record.statuses.append(status)
+            if status == HTTP_OK:
+                record.states.append(answer["state"])
+            if status not in BROKEN:
+                return
+            await asyncio.sleep(RESEND_S)
+
+    async def fault(self, kind):
+        """Bring one fault about, and end it."""
+        self.faults[kind] += 1
+        seconds = self.rng.uniform(*FAULT_S)
+        if kind.startswith("store"):
+            await self.store_fault(kind, seconds)
+        elif kind.endswith("worker"):
+            await self.worker_fault(kind, seconds)
+        elif kind == "configure":
+            extra = {f"stamps-{self.rng.randint(0, 9)}": {}}
+            await self.platform.configure({**ROUTES, **extra})
+        else:
+            await self.daemon_fault(kind, seconds)
+
+    async def daemon_fault(self, kind, seconds):
+        """Stop, pause or cut a daemon, an owner every second time."""
+        daemons = list(self.deployment.daemons.values())
+        owner = self.deployment.owner(self.rng.choice(self.platform.zones))
+        daemon = (
+            owner if owner and self.rng.random() < 0.5 else self.rng.choice(daemons)
+        )
+        if kind in ("kill", "stop"):
+            number = signal.SIGKILL if kind == "kill" else signal.SIGTERM
+            daemon.send_signal(signal.SIGCONT)
+            async with daemon.lock:
+                await daemon.end(number)
+                await asyncio.sleep(seconds if kind == "kill" else 0.0)
+                await daemon.start()
+        elif kind == "pause":
+            daemon.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(seconds)
+            daemon.send_signal(signal.SIGCONT)
+        elif kind == "reset_store":
+            self.deployment.store_relays[daemon.name].drop()
+        else:
+            relay = self.deployment.store_relays[daemon.name]
+            relay.cut()
+            await asyncio.sleep(seconds)
+            self.rng.choice((relay.mend, relay.deliver))()
+
+    async def worker_fault(self, kind, seconds):
+        """Let a worker or the way to it misbehave."""
+        name = self.rng.choice(list(self.platform.workers))
+        worker, faults = self.platform.workers[name], self.platform.workers[name].faults
+        relay = self.deployment.worker_relays[name]
+        if kind == "cut_worker":
+            relay.cut()
+            await asyncio.sleep(seconds)
+            self.rng.choice((relay.mend, relay.deliver))()
+        elif kind == "restart_worker":
+            for task in list(worker.running):
+                worker.end(task, "crashed", listed=False)
+            worker.reset()
+        else:
+            field = kind.removesuffix("_worker")
+            field, value = ("late_s", seconds) if field == "late" else (field, True)
+            setattr(faults, field, value)
+            await asyncio.sleep(seconds)
+            setattr(faults, field, 0.0 if field == "late_s" else False)
+
+    async def store_fault(self, kind, seconds):
+        """Let the store misbehave."""
+        faults = self.platform.store.faults
+        if kind == "store_forgets":
+            self.platform.store.forget_history()
+            return
+        field, value, calm = {
+            "store_busy": ("status", REFUSED, 0),
+            "store_silent": ("silent", True, False),
+            "store_slow": ("delay_s", 0.25, 0.0),
+            "store_loses": ("lose_answers", True, False),
+        }[kind]
+        setattr(faults, field, value)
+        await asyncio.sleep(seconds)
+        setattr(faults, field, calm)
+
+    async def check_recovery(self):
+        """Check that every daemon completes a job in time after the faults."""
+        late = []
+        for daemon in self.deployment.daemons.values():
+            record = JobRecord(f"{len(self.jobs):016x}", 2)
+            self.jobs.append(record)
+
+            async def served(daemon=daemon, record=record):
+                body = leased_job(record.tasks)
+                status, answer = await self.deployment.submit(
+                    daemon, record.job_id, body, timeout=3
+                )
+                record.statuses.append(status)
+                if status == HTTP_OK:
+                    record.states.append(answer["state"])
+                return status == HTTP_OK
+
+            try:
+                await wait_for(served, RECOVER_S)
+            except TimeoutError:
+                late.append(f"recovery: {daemon.name} does not serve")
+        return late
+
+    def check_runs(self) -> list[str]:
+        """Check what callers were told against what ran."""
+        runs = collections.defaultdict(list)
+        for run in self.platform.runs():
+            job_id, _, _, index = run.task.split(".")
+            runs[job_id].append((int(index), run.how))
+        violations = [
+            f"two runs at one time: {task}"
+            for task in overlapping_runs(self.platform.runs())
+        ]
+        known = {record.job_id: record for record in self.jobs}
+        for job_id in runs:
+            if job_id not in known:
+                violations.append(f"nobody asked for {job_id}")
+        for record in self.jobs:
+            ran = runs[record.job_id]
+            done = {index for index, how in ran if how == "done"}
+            if "completed" in record.states and len(done) < record.tasks:
+                violations.append(f"completed without all tasks: {record.job_id}")
+            if ran and record.statuses and set(record.statuses) == {REFUSED}:
+                violations.append(f"said not to have run: {record.job_id}")
+        return violations
+
+    def summary(self):
+        """Return the figures of the run as text."""
+        statuses = collections.Counter(s for job in self.jobs for s in job.statuses)
+        faults = ", ".join(f"{kind} {n}" for kind, n in sorted(self.faults.items()))
+        return f"{len(self.jobs)} jobs, answers {dict(statuses)}, faults: {faults}"
+
+
+def main():
+    """Run one seed and print its violations; return the exit status."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=30.0)
+    options = parser.parse_args()
+    chaos = LeasedChaos(options.seed, options.seconds)
+    violations = asyncio.run(chaos.run())
+    print(f"seed {options.seed}: {chaos.summary()}")
+    for violation in violations:
+        print(f"violation: {violation}")
+    print(f"{len(violations)} violations")
+    return 1 if violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/testing/carobramp_testing/leased.py
+++ b/packages/testing/carobramp_testing/leased.py
@@ -12,6 +12,7 @@
 import aiohttp
 
 from carobramp_testing.processes import wait_for
+from carobramp_testing.relay import Relay
 from carobramp_testing.standins.leased import LeasedPlatform
 from carobramp_testing.standins.leased.platform import HOST
 
@@ -39,8 +40,20 @@
 CONNECTION_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
 
 
+async def new_relay(address):
+    """Start a relay to an address."""
+    host, _, port = address.rpartition(":")
+    return await Relay(host, int(port)).start()
+
+
+def address_of(relay):
+    """Return the address on which a relay listens."""
+    host, port = relay.address
+    return f"{host}:{port}"
+
+
 class Daemon:
-    """One daemon process."""
+    """One daemon process; `lock` is held from an end to the next start."""
 
     def __init__(self, name, zone, ip, folder):
         self.name = name
@@ -49,6 +62,7 @@
         self.settings = folder / f"{name}.toml"
         self.log = folder / f"{name}.log"
         self.child: asyncio.subprocess.Process | None = None
+        self.lock = asyncio.Lock()
 
     def url(self, port=FRONT_PORT):
         """Return the URL of a port of the daemon."""
@@ -86,10 +100,6 @@
             self.send_signal(signal.SIGKILL)
             await self.child.wait()
 
-    async def restart(self):
-        """Start again after an end."""
-        await self.start()
-
 
 class LeasedDeployment:
     """A stand-in platform with daemons in each availability zone.
@@ -98,11 +108,15 @@
     ==========
 
     daemons : number of daemons in each zone
+    relays : whether daemons reach the store and the workers through relays
     """
 
-    def __init__(self, platform: LeasedPlatform, daemons=2):
+    def __init__(self, platform: LeasedPlatform, daemons=2, relays=False):
         self.platform = platform
         self.per_zone = daemons
+        self.relays = relays
+        self.store_relays: dict[str, Relay] = {}
+        self.worker_relays: dict[str, Relay] = {}
         self.folder = tempfile.TemporaryDirectory(prefix="carobramp-")
         self.daemons: dict[str, Daemon] = {}
         self.session: aiohttp.ClientSession
@@ -111,6 +125,12 @@
         """Start the platform and the daemons, and wait until they are ready."""
         self.session = aiohttp.ClientSession()
         await self.platform.start()
+        if self.relays:
+            for worker in self.platform.workers.values():
+                relay = await new_relay(worker.address)
+                self.worker_relays[worker.name] = relay
+                worker.address = address_of(relay)
+                await self.platform.store.put("servers", worker.name, worker.entry())
         subnet = f"127.{random.randint(1, 254)}.{random.randint(0, 254)}"
         zones = "\n".join(f'{zone} = "here"' for zone in self.platform.zones)
         folder = pathlib.Path(self.folder.name)
@@ -118,12 +138,17 @@
             for number in range(self.per_zone):
                 ip = f"{subnet}.{len(self.daemons) + 1}"
                 daemon = Daemon(f"{zone}-{number}", zone, ip, folder)
+                store = self.platform.store.address
+                if self.relays:
+                    relay = await new_relay(store)
+                    self.store_relays[daemon.name] = relay
+                    store = address_of(relay)
                 text = SETTINGS.format(
                     name=daemon.name,
                     ip=ip,
                     zone=zone,
                     zones=zones,
-                    store=self.platform.store.address,
+                    store=store,
                 )
                 daemon.settings.write_text(text)
                 self.daemons[daemon.name] = daemon
@@ -136,6 +161,8 @@
         for daemon in self.daemons.values():
             daemon.send_signal(signal.SIGCONT)
         await asyncio.gather(*(daemon.end() for daemon in self.daemons.values()))
+        for relay in [*self.store_relays.values(), *self.worker_relays.values()]:
+            await relay.stop()
         await self.platform.stop()
         await self.session.close()
         self.folder.cleanup()
--- /dev/null
+++ b/packages/testing/carobramp_testing/tests/test_leased_chaos.py
@@ -0,0 +1,17 @@
+"""Seeded runs of the fault soak on the stand-in platform."""
+
+import unittest
+
+from carobramp_testing.chaos.leased import LeasedChaos
+
+SHORT_SEED = 2
+SHORT_S = 8.0
+
+
+class LeasedChaosTests(unittest.IsolatedAsyncioTestCase):
+    """Kills, pauses, cuts and a misbehaving platform, overlapping."""
+
+    async def test_short_run_keeps_the_promises(self):
+        """Guards against doubled runs, false refusals and daemons that do not recover."""
+        chaos = LeasedChaos(SHORT_SEED, SHORT_S)
+        self.assertEqual(await chaos.run(), [])
