Drop what a former owner sends on a link that was replaced

The entry took the message for one of the present owner and offered the tasks, which that owner was about to start, to another cell.

Ruled out: adoption and fences; both runs had valid tokens.

--- a/packages/core/carobramp_core/cells/tests/test_owner.py
+++ b/packages/core/carobramp_core/cells/tests/test_owner.py
@@ -149,6 +149,15 @@
         bench.answer_hold("i-1")
         self.assertEqual(len(starts(bench.offer(job()))), 1)
 
+    def test_run_of_unknown_size_takes_all_room(self):
+        """Guards against starts that are refused for room after a takeover."""
+        bench = OwnerBench(upstream(), taken_over=True)
+        earlier = RunningEntry(RunId("0" * 16, 0, 7), 40)
+        bench.answer_hold(running=[earlier])
+        self.assertEqual(starts(bench.offer(job())), [])
+        claimed = bench.offer(job("0" * 16), resumed=True)
+        self.assertEqual(len(starts(claimed)), 1)
+
     def test_unclaimed_run_is_stopped(self):
         """Guards against a run that goes on after its caller has asked elsewhere."""
         bench = OwnerBench(upstream(), taken_over=True)
--- a/packages/core/carobramp_core/cells/upstreams.py
+++ b/packages/core/carobramp_core/cells/upstreams.py
@@ -143,6 +143,7 @@
             and not self.suspect
             and self.listed.state == UpstreamState.READY
             and now >= self.blocked_until
+            and not self.has_orphans()
             and not (self.probing and self.runs)
         )
 
--- a/packages/daemon/carobramp_daemon/cells/entry.py
+++ b/packages/daemon/carobramp_daemon/cells/entry.py
@@ -83,9 +83,14 @@
             del self.links[cell]
             self.dispatch(OwnerLost(cell, heard_at))
 
-    def take(self, cell, message):
-        """Take a message of the owner of a cell."""
-        self.dispatch(FromOwner(cell, message))
+    def take(self, cell, link, message):
+        """Take a message of the owner of a cell.
+
+        What a former owner still sends on a link that was replaced is dropped: its
+        tasks were offered again to the present one.
+        """
+        if self.links.get(cell) is link:
+            self.dispatch(FromOwner(cell, message))
 
     def dispatch(self, event: EntryEvent):
         """Let the entry decide on an event and carry out its effects."""
--- a/packages/daemon/carobramp_daemon/cells/fleet.py
+++ b/packages/daemon/carobramp_daemon/cells/fleet.py
@@ -402,8 +402,8 @@
         self.owned[state.name] = service
         state.silent_since = None
         self.metrics.count("takeovers", state.name)
-        to_entry = LocalLink(lambda m: self.entry_service.take(state.name, m))
         to_owner = LocalLink(lambda m: service.take(self.me.vm, m))
+        to_entry = LocalLink(lambda m: self.entry_service.take(state.name, to_owner, m))
         service.local_links = (to_entry, to_owner)
         if state.listed:
             service.list_upstreams(state.listed)
--- a/packages/daemon/carobramp_daemon/cells/links.py
+++ b/packages/daemon/carobramp_daemon/cells/links.py
@@ -186,7 +186,7 @@
             self.found = True
             self.entry_service.owner_found(self.cell, message.token, link)
         if message is not None:
-            self.entry_service.take(self.cell, message)
+            self.entry_service.take(self.cell, link, message)
 
     def on_closed(self, link: FrameLink, reason):
         """End the link."""
--- a/packages/testing/carobramp_testing/tests/test_leased_chaos.py
+++ b/packages/testing/carobramp_testing/tests/test_leased_chaos.py
@@ -12,6 +12,6 @@
     """Kills, pauses, cuts and a misbehaving platform, overlapping."""
 
     async def test_short_run_keeps_the_promises(self):
-        """Guards against doubled runs, false refusals and daemons that do not recover."""
+        """Guards against doubled runs, false refusals and lasting outages."""
         chaos = LeasedChaos(SHORT_SEED, SHORT_S)
         self.assertEqual(await chaos.run(), [])
