--- a/packages/testing/carobramp_testing/tests/test_lists.py
+++ b/packages/testing/carobramp_testing/tests/test_lists.py
@@ -11,9 +11,13 @@
 from carobramp_daemon.problems import STATUS
 
 ROOT = pathlib.Path(__file__).parents[4]
-PACKAGES = ("core/carobramp_core", "daemon/carobramp_daemon")
+PACKAGES = (
+    "packages/core/carobramp_core",
+    "packages/daemon/carobramp_daemon",
+    "platform/carobramp_platform",
+)
 SETTINGS = ROOT / "packages/schema/carobramp_schema/definitions/settings.schema.json"
-OPERATIONS = ROOT / "docs/operations.md"
+OPERATIONS = ROOT / "docs/OPERATIONS.md"
 DECLARATIONS = {"outcomes.py", "metrics.py", "problems.py", "logs.py"}
 ENUMS = (Reason, RetryReason, Waste)
 
@@ -21,7 +25,7 @@
 def trees():
     """Yield the syntax tree of each module that does not declare the names."""
     for package in PACKAGES:
-        for path in sorted((ROOT / "packages" / package).rglob("*.py")):
+        for path in sorted((ROOT / package).rglob("*.py")):
             if path.name not in DECLARATIONS and "tests" not in path.parts:
                 yield ast.parse(path.read_text())
 
@@ -60,7 +64,7 @@
 
 
 def documented():
-    """Return the text of docs/operations.md."""
+    """Return the text of docs/OPERATIONS.md."""
     return OPERATIONS.read_text() if OPERATIONS.exists() else ""
 
 
@@ -92,7 +96,7 @@
 
 
 class DocumentationTests(unittest.TestCase):
-    """Every name that operators and callers see is in docs/operations.md."""
+    """Every name that operators and callers see is in docs/OPERATIONS.md."""
 
     def test_names(self):
         """Guards against an operator who meets a name that no page explains."""
--- a/packages/testing/carobramp_testing/tests/test_operations_page.py
+++ b/packages/testing/carobramp_testing/tests/test_operations_page.py
@@ -1,4 +1,4 @@
-"""Runs the examples of docs/operations.md against a real entry VM."""
+"""Runs the examples of docs/OPERATIONS.md against a real entry VM."""
 
 import asyncio
 import pathlib
@@ -12,7 +12,7 @@
 from carobramp_testing.commands import carobramp, write_file
 from carobramp_testing.processes import Deployment
 
-PAGE = pathlib.Path(__file__).parents[4] / "docs/operations.md"
+PAGE = pathlib.Path(__file__).parents[4] / "docs/OPERATIONS.md"
 BLOCK = re.compile(r"^```(\w+)\n(.*?)^```$", re.MULTILINE | re.DOTALL)
 ROW = re.compile(r"^\| `(\w+)` \| (\d{3}(?:, \d{3})*) \|", re.MULTILINE)
 VM = "tilburg-0"
