--- a/packages/testing/carobramp_testing/leased.py
+++ b/packages/testing/carobramp_testing/leased.py
@@ -36,6 +36,8 @@
 """
 FRONT_PORT, READY_PORT, METRICS_PORT = 8161, 8167, 7735
 STOP_TIMEOUT_S = 8.0
+# A probe without an answer is repeated, as the platform's balancer does.
+READY_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
 HTTP_OK = 200
 CONNECTION_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
 
@@ -171,7 +173,7 @@
         """Whether a daemon says that it is ready."""
         try:
             url = daemon.url(READY_PORT) + "/-/ready"
-            async with self.session.get(url) as reply:
+            async with self.session.get(url, timeout=READY_TIMEOUT) as reply:
                 return reply.status == HTTP_OK
         except CONNECTION_ERRORS:
             return False
