Split the owner's events and the fleet's rows off, remove what is unused

Cause: owner.py had 796 lines with two jobs; names of abandoned ways (a return reason, a waiting task, a silence time, settings that nothing reads) were left.

Ruled out: any change of behaviour; functions moved unchanged.

Change: core/cells/events.py and daemon/cells/rows.py; unused names gone; the soak picks owners by a named share.

--- a/packages/core/carobramp_core/cells/messages.py
+++ b/packages/core/carobramp_core/cells/messages.py
@@ -56,7 +56,6 @@
 
     NO_ROOM = "no_room"
     OVERLOADED = "overloaded"
-    ELSEWHERE = "elsewhere"
     NO_SERVICE = "no_service"
     SUPERSEDED = "superseded"
 
--- a/packages/core/carobramp_core/cells/orders.py
+++ b/packages/core/carobramp_core/cells/orders.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 
-from carobramp_core.cells.messages import Job, ToEntry, ToOwner
+from carobramp_core.cells.messages import ToEntry, ToOwner
 
 
 class UpstreamState(enum.StrEnum):
@@ -237,14 +237,6 @@
     fields: dict
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class WaitingTask:
-    """A task that waits for an upstream."""
-
-    job: Job
-    index: int
-
-
 OwnerEvent = (
     FromEntry | EntryLost | Listed | HoldAnswered | StartAnswered | StopAnswered | Tick
 )
--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -9,11 +9,10 @@
 """
 
 import dataclasses
-import functools
 
+from carobramp_core.cells.events import on_event
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import (
-    Cancel,
     Members,
     Offer,
     Returned,
@@ -24,28 +23,14 @@
     TaskResult,
 )
 from carobramp_core.cells.orders import (
-    Accepted,
-    Deposed,
-    EndKind,
-    EntryLost,
-    FromEntry,
-    HoldAnswered,
     HoldOrder,
-    Listed,
-    Listing,
-    NoAnswer,
     Note,
     OwnerEffect,
     OwnerEvent,
-    Refusal,
-    Rejected,
     RunId,
     Send,
-    StartAnswered,
     StartOrder,
-    StopAnswered,
     StopOrder,
-    Tick,
 )
 from carobramp_core.cells.placement import (
     Waiting,
@@ -62,14 +47,10 @@
 # Runs of one owner are numbered within its token, so that every run of a later
 # owner has a higher number than those of earlier ones.
 RUNS_PER_TOKEN = 1 << 24
-# Results of runs that nobody waited for, kept for entries that ask after a takeover.
-KEPT_RESULTS_S = 3.0
 # Waiting tasks that one pass tries to place; the rest has less to lose.
 PLACED_PER_PASS = 64
 RETRY_AFTER_MIN_S = 0.5
 MS = 1000
-# Refusals after which the upstream gets nothing for a moment.
-BACKOFF_REFUSALS = (Refusal.NO_ROOM, Refusal.UNHEALTHY, Refusal.LATE)
 
 
 class CellOwner:
@@ -467,332 +448,3 @@
         total = sum(u.listed.cpu for u in self.upstreams.values() if u.usable(now))
         work = sum(task.core_s() for task in self.waiting)
         return Room(self.cell, self.token, free, total, work)
-
-
-@functools.singledispatch
-def on_event(event, owner, now, effects):
-    """Carry out one event."""
-    raise TypeError(f"unknown event {event!r}")
-
-
-@on_event.register
-def _(event: FromEntry, owner: CellOwner, now, effects):
-    on_message(event.message, event.entry, owner, now, effects)
-
-
-@functools.singledispatch
-def on_message(message, entry, owner, now, effects):
-    """Carry out one message of an entry."""
-    raise TypeError(f"unknown message {message!r}")
-
-
-@on_message.register
-def _(message: Offer, entry, owner: CellOwner, now, effects):
-    owner.take_offer(entry, message, now, effects)
-
-
-@on_message.register
-def _(message: Cancel, entry, owner: CellOwner, now, effects):
-    if owner.entries.get(message.job_id) == entry:
-        owner.release(message.job_id, now, effects)
-
-
-@on_event.register
-def _(event: EntryLost, owner: CellOwner, now, effects):
-    lost = {job for job, entry in owner.entries.items() if entry == event.entry}
-    if not lost:
-        return
-    owner.waiting = [task for task in owner.waiting if task.job.job_id not in lost]
-    owner.lost_entries[event.entry] = now + owner.limits.entry_grace_s
-    note = {"entry": event.entry, "jobs": len(lost)}
-    effects.append(Note("entry lost", note))
-
-
-@on_event.register
-def _(event: Listed, owner: CellOwner, now, effects):
-    owner.listed = True
-    listed = {upstream.name: upstream for upstream in event.upstreams}
-    for name, item in listed.items():
-        upstream = owner.upstreams.get(name)
-        if upstream is None:
-            owner.upstreams[name] = Upstream(item, owner.limits, now)
-            note = {"upstream": name, "state": item.state}
-            effects.append(Note("upstream listed", note))
-            continue
-        if upstream.listed.state != item.state:
-            note = {"upstream": name, "state": item.state}
-            effects.append(Note("upstream changed its state", note))
-        upstream.listed = item
-        upstream.missing_since = None
-    for upstream in owner.upstreams.values():
-        if upstream.name not in listed and upstream.missing_since is None:
-            upstream.missing_since = now
-    owner.index_services()
-
-
-@on_event.register
-def _(event: HoldAnswered, owner: CellOwner, now, effects):
-    upstream = owner.upstreams.get(event.order.upstream)
-    if upstream is None or owner.deposed:
-        return
-    on_hold(event.outcome, upstream, owner, event, now, effects)
-    owner.resume(now, effects)
-
-
-@functools.singledispatch
-def on_hold(outcome, upstream, owner, event, now, effects):
-    """Take the outcome of a hold order."""
-    raise TypeError(f"unknown outcome {outcome!r}")
-
-
-@on_hold.register
-def _(outcome: Listing, upstream: Upstream, owner: CellOwner, event, now, effects):
-    upstream.heard(outcome.clock_ms, now)
-    if not upstream.answered or upstream.suspect:
-        note = {"upstream": upstream.name, "born_ms": outcome.born_ms}
-        effects.append(Note("upstream answers", note))
-    upstream.answered = True
-    upstream.suspect = False
-    upstream.unanswered_since = None
-    if outcome.born_ms != upstream.born_ms:
-        for run in upstream.reborn(outcome.born_ms):
-            owner.finish(run, TaskResult.LOST, now, effects)
-    for end in outcome.ended:
-        take_end(end, upstream, owner, now, effects)
-    listed = {entry.run_id: entry for entry in outcome.running}
-    for entry in outcome.running:
-        if entry.run_id not in upstream.runs:
-            adopt(entry, upstream, owner, now, effects)
-    for run in list(upstream.runs.values()):
-        compare(run, listed.get(run.run_id), owner, event.sent_at, now, effects)
-
-
-def take_end(end, upstream: Upstream, owner: CellOwner, now, effects):
-    """Take note of one listed end."""
-    if end.number <= upstream.acknowledged:
-        return
-    upstream.acknowledged = end.number
-    run = upstream.runs.get(end.run_id)
-    if run is None:
-        key = end.run_id.job_id, end.run_id.index
-        if end.kind == EndKind.DONE:
-            owner.results[key] = (TaskResult.DONE, upstream.name, now)
-        return
-    learn(end, run, upstream, owner, now, effects)
-    result = {EndKind.DONE: TaskResult.DONE, EndKind.FAILED: TaskResult.FAILED}
-    owner.finish(run, result.get(end.kind, TaskResult.LOST), now, effects)
-
-
-def learn(end, run: Run, upstream: Upstream, owner: CellOwner, now, effects):
-    """Learn run times, speeds and failures from an end."""
-    if end.kind == EndKind.FAILED:
-        elsewhere = any(
-            upstream is not other and run.run_id.job_id in other.failed_jobs
-            for other in owner.upstreams.values()
-        )
-        if not elsewhere and upstream.failed(run.run_id.job_id, now):
-            note = {"upstream": upstream.name, "seconds": upstream.quarantine_s}
-            effects.append(Note("upstream quarantined after failures", note))
-    if end.kind != EndKind.DONE or run.job is None or not run.expected_s:
-        return
-    upstream.succeeded()
-    elapsed_s = max(0.001, now - run.started_at)
-    upstream.learn_speed(run.expected_s / elapsed_s)
-    work_ms = elapsed_s * MS * upstream.relative_speed()
-    owner.times(run.job.queue).learn(run.job.estimate_ms, work_ms)
-
-
-def adopt(entry, upstream: Upstream, owner: CellOwner, now, effects):
-    """Keep a run of an earlier owner until an entry claims it."""
-    run = Run(entry.run_id, upstream.name, None, None, started_at=now)
-    run.phase = RunPhase.RUNNING
-    upstream.add(run)
-    if (run.run_id.job_id, run.run_id.index) in owner.runs:
-        owner.stop(run, now, effects)
-        return
-    owner.track(run)
-
-
-def compare(run: Run, listed, owner: CellOwner, asked_at, now, effects):
-    """Compare a run with a listing that was asked for at `asked_at`."""
-    if listed is not None:
-        run.percent = listed.percent
-        if run.phase in (RunPhase.STARTING, RunPhase.UNKNOWN):
-            run.phase = RunPhase.RUNNING
-            run.settled_at = now
-            run.requeue = False
-        elif run.phase == RunPhase.STOPPING:
-            overdue = now - run.stop_sent_at > owner.limits.order_timeout_s
-            if overdue:
-                owner.stop(run, now, effects)
-        return
-    if asked_at < min(run.settled_at, run.started_at + owner.limits.lapse_s()):
-        unsettled = run.phase in (RunPhase.UNKNOWN, RunPhase.STOPPING)
-        if unsettled and asked_at > run.stop_sent_at and run.settled_at > now:
-            owner.stop(run, now, effects)
-        return
-    owner.finish(run, TaskResult.LOST, now, effects)
-
-
-@on_hold.register
-def _(outcome: NoAnswer, upstream: Upstream, owner: CellOwner, event, now, effects):
-    if not upstream.suspect:
-        note = {"upstream": upstream.name, "detail": outcome.detail}
-        effects.append(Note("upstream does not answer", note))
-        upstream.suspect = True
-        upstream.unanswered_since = now
-
-
-@on_hold.register
-def _(outcome: Rejected, upstream: Upstream, owner: CellOwner, event, now, effects):
-    if outcome.refusal == Refusal.FENCED:
-        depose(owner, upstream, effects)
-        return
-    upstream.suspect = True
-    note = {"upstream": upstream.name, "refusal": outcome.refusal}
-    effects.append(Note("upstream refuses to be held", note))
-
-
-def depose(owner: CellOwner, upstream, effects):
-    """Give the cell up: an upstream has seen a higher token."""
-    if not owner.deposed:
-        owner.deposed = True
-        effects.append(Deposed(upstream.name))
-
-
-@on_event.register
-def _(event: StartAnswered, owner: CellOwner, now, effects):
-    upstream = owner.upstreams.get(event.order.upstream)
-    run = upstream.runs.get(event.order.run_id) if upstream else None
-    if run is None or run.phase == RunPhase.RUNNING:
-        return
-    on_start(event.outcome, run, upstream, owner, now, effects)
-
-
-@functools.singledispatch
-def on_start(outcome, run, upstream, owner, now, effects):
-    """Take the outcome of a start order."""
-    raise TypeError(f"unknown outcome {outcome!r}")
-
-
-@on_start.register
-def _(outcome: Accepted, run: Run, upstream, owner: CellOwner, now, effects):
-    if run.phase == RunPhase.STARTING:
-        run.phase = RunPhase.RUNNING
-    run.settled_at = now
-
-
-@on_start.register
-def _(outcome: Rejected, run: Run, upstream, owner: CellOwner, now, effects):
-    if outcome.refusal == Refusal.FENCED:
-        depose(owner, upstream, effects)
-        return
-    if outcome.refusal in BACKOFF_REFUSALS:
-        upstream.no_room(now)
-    note = {
-        "upstream": upstream.name,
-        "job_id": run.run_id.job_id,
-        "index": run.run_id.index,
-        "refusal": outcome.refusal,
-    }
-    effects.append(Note("start refused", note))
-    if outcome.refusal == Refusal.INVALID:
-        owner.finish(run, TaskResult.FAILED, now, effects)
-        return
-    run.requeue = run.entry is not None
-    owner.finish(run, TaskResult.LOST, now, effects)
-
-
-@on_start.register
-def _(outcome: NoAnswer, run: Run, upstream: Upstream, owner: CellOwner, now, effects):
-    if run.phase == RunPhase.STARTING:
-        run.phase = RunPhase.UNKNOWN
-        run.requeue = run.entry is not None
-        run.stop_sent_at = now
-    upstream.no_room(now)
-    note = {
-        "upstream": upstream.name,
-        "job_id": run.run_id.job_id,
-        "index": run.run_id.index,
-        "detail": outcome.detail,
-    }
-    effects.append(Note("start not answered", note))
-
-
-@on_event.register
-def _(event: StopAnswered, owner: CellOwner, now, effects):
-    upstream = owner.upstreams.get(event.order.upstream)
-    run = upstream.runs.get(event.order.run_id) if upstream else None
-    if run is None:
-        return
-    if isinstance(event.outcome, Accepted):
-        run.settled_at = min(run.settled_at, now)
-    elif isinstance(event.outcome, Rejected):
-        if event.outcome.refusal == Refusal.FENCED:
-            depose(owner, upstream, effects)
-    else:
-        run.stop_sent_at = now
-
-
-@on_event.register
-def _(event: Tick, owner: CellOwner, now, effects):
-    for upstream in list(owner.upstreams.values()):
-        if upstream.suspect and upstream.runs and now > upstream.leased_until:
-            note = {"upstream": upstream.name, "runs": len(upstream.runs)}
-            effects.append(Note("lease lapsed, its runs are over", note))
-            for run in list(upstream.runs.values()):
-                owner.finish(run, TaskResult.LOST, now, effects)
-        if gone(upstream, now):
-            effects.append(Note("upstream gone", {"upstream": upstream.name}))
-            owner.drop_upstream(upstream, now, effects)
-            continue
-        for run in list(upstream.runs.values()):
-            if unclaimed(run, owner.limits, now):
-                owner.stop(run, now, effects)
-    release_lost(owner, now, effects)
-    expire(owner, now, effects)
-    owner.resume(now, effects)
-
-
-def unclaimed(run: Run, limits: CellLimits, now) -> bool:
-    """Whether no entry has claimed a run of an earlier owner in time."""
-    late = now - run.started_at > limits.orphan_s
-    return run.job is None and late and run.phase != RunPhase.STOPPING
-
-
-def release_lost(owner: CellOwner, now, effects):
-    """Stop the runs of entries that did not come back."""
-    for entry in [name for name, at in owner.lost_entries.items() if now >= at]:
-        del owner.lost_entries[entry]
-        jobs = [job for job, name in owner.entries.items() if name == entry]
-        for job_id in jobs:
-            owner.release(job_id, now, effects)
-        if jobs:
-            note = {"entry": entry, "jobs": len(jobs)}
-            effects.append(Note("runs of a lost entry are stopped", note))
-
-
-def gone(upstream: Upstream, now) -> bool:
-    """Whether an upstream is neither listed nor answering, and its lease is over."""
-    return (
-        upstream.missing_since is not None
-        and upstream.suspect
-        and not upstream.runs
-        and now > upstream.leased_until
-    )
-
-
-def expire(owner: CellOwner, now, effects):
-    """Return what has become useless and forget old results."""
-    hopeless: dict[str, list[Waiting]] = {}
-    for task in owner.waiting:
-        if is_hopeless(task, now) and task.job.job_id not in owner.job_runs:
-            hopeless.setdefault(task.job.job_id, []).append(task)
-    for tasks in hopeless.values():
-        owner.give_back(tasks, now, effects, ReturnReason.OVERLOADED)
-    active = {task.job.job_id for task in owner.waiting}
-    active.update(offer.job.job_id for _, offer, _ in owner.resuming)
-    active.update(owner.job_runs)
-    owner.entries = {k: v for k, v in owner.entries.items() if k in active}
-    oldest = now - KEPT_RESULTS_S
-    owner.results = {k: v for k, v in owner.results.items() if v[2] > oldest}
--- a/packages/core/carobramp_core/cells/upstreams.py
+++ b/packages/core/carobramp_core/cells/upstreams.py
@@ -70,7 +70,6 @@
         self.answered = False
         self.suspect = True
         self.missing_since: float | None = None
-        self.unanswered_since: float | None = None
         self.runs: dict[RunId, Run] = {}
         self.used_cpu = 0
         self.used_memory_mb = 0
--- a/packages/daemon/carobramp_daemon/cells/fleet.py
+++ b/packages/daemon/carobramp_daemon/cells/fleet.py
@@ -35,6 +35,7 @@
 from carobramp_daemon.cells.frames import decode_upstream, encode_upstream
 from carobramp_daemon.cells.links import EntryLinks, LocalLink, RemoteLink
 from carobramp_daemon.cells.owner import OwnerService
+from carobramp_daemon.cells.rows import CELL_PREFIX, VM_PREFIX, CellRow, VmRow
 from carobramp_daemon.cells.tasks import spawn
 from carobramp_schema.generated import cells_grpc
 from carobramp_schema.generated import cells_pb2 as pb
@@ -64,37 +65,6 @@
 HANDOVER_S = 1.0
 # A link is heard when its last message is this recent.
 HEARD_S = 0.25
-CELL_PREFIX = "cell/"
-VM_PREFIX = "vm/"
-
-
-class VmRow(msgspec.Struct, frozen=True):
-    """Row of a daemon."""
-
-    vm: str
-    availability_zone: str
-    host: str
-    port: int
-    link_port: int
-    incarnation: str
-    cores: float = 1.0
-
-    def rank_key(self):
-        """Return the key by which candidates are ordered, the best first."""
-        return -self.cores, self.vm
-
-
-class CellRow(msgspec.Struct, frozen=True):
-    """Row of a cell: its owner and fencing token."""
-
-    vm: str
-    availability_zone: str
-    host: str
-    port: int
-    link_port: int
-    incarnation: str
-    token: int
-    cores: float = 1.0
 
 
 @dataclasses.dataclass
--- a/packages/daemon/carobramp_daemon/cells/links.py
+++ b/packages/daemon/carobramp_daemon/cells/links.py
@@ -25,7 +25,6 @@
 MAX_FRAME_BYTES = 1 << 20
 # Bytes that may wait for a peer that does not read; the link is closed beyond.
 MAX_WAITING_BYTES = 4 << 20
-HEARTBEAT_FRAME = pb.Frame(heartbeat=pb.Heartbeat())
 NUMBERS = itertools.count(1)
 
 
@@ -35,7 +34,7 @@
     return LENGTH.pack(len(data)) + data
 
 
-HEARTBEAT = pack(HEARTBEAT_FRAME)
+HEARTBEAT = pack(pb.Frame(heartbeat=pb.Heartbeat()))
 
 
 class FrameLink(asyncio.Protocol):
--- a/packages/testing/carobramp_testing/chaos/leased.py
+++ b/packages/testing/carobramp_testing/chaos/leased.py
@@ -143,10 +143,10 @@
     async def daemon_fault(self, kind, seconds):
         """Stop, pause or cut a daemon, an owner every second time."""
         daemons = list(self.deployment.daemons.values())
-        owner = self.deployment.owner(self.rng.choice(self.platform.zones))
-        daemon = (
-            owner if owner and self.rng.random() < 0.5 else self.rng.choice(daemons)
-        )
+        daemon = self.rng.choice(daemons)
+        if self.rng.random() < OWNER_SHARE:
+            zone = self.rng.choice(self.platform.zones)
+            daemon = self.deployment.owner(zone) or daemon
         if kind in ("kill", "stop"):
             number = signal.SIGKILL if kind == "kill" else signal.SIGTERM
             daemon.send_signal(signal.SIGCONT)
