--- a/packages/testing/carobramp_testing/chaos/leased.py
+++ b/packages/testing/carobramp_testing/chaos/leased.py
@@ -78,7 +78,9 @@
     """
 
     def __init__(self, seed, seconds, workers=4, daemons=2):
+        # Callers draw on their own, so that their timing does not change the faults.
         self.rng = random.Random(seed)
+        self.caller_rng = random.Random(seed + 1)
         self.seconds = seconds
         self.platform = LeasedPlatform(workers=workers)
         self.deployment = LeasedDeployment(self.platform, daemons, relays=True)
@@ -109,15 +111,17 @@
         """Submit jobs at a steady rate."""
         while True:
             await asyncio.sleep(1 / JOBS_PER_S)
-            record = JobRecord(f"{len(self.jobs):016x}", self.rng.randint(1, 4))
+            tasks = self.caller_rng.randint(1, 4)
+            record = JobRecord(f"{len(self.jobs):016x}", tasks)
             self.jobs.append(record)
             self.spawn(self.submit(record))
 
     async def submit(self, record: JobRecord):
         """Submit a job until it has an answer or too many tries."""
-        body = leased_job(record.tasks, run_ms=self.rng.choice((50, 200, 900)))
+        run_ms = self.caller_rng.choice((50, 200, 900))
+        body = leased_job(record.tasks, run_ms=run_ms)
         for _ in range(MAX_TRIES):
-            daemon = self.rng.choice(list(self.deployment.daemons.values()))
+            daemon = self.caller_rng.choice(list(self.deployment.daemons.values()))
             status, answer = await self.deployment.submit(daemon, record.job_id, body)
             record.statuses.append(status)
             if status == HTTP_OK:
@@ -232,7 +236,7 @@
             job_id, _, _, index = run.task.split(".")
             runs[job_id].append((int(index), run.how))
         violations = [
-            f"two runs at one time: {task}"
+            f"two runs at one time: {self.describe(task)}"
             for task in overlapping_runs(self.platform.runs())
         ]
         known = {record.job_id: record for record in self.jobs}
@@ -248,6 +252,18 @@
                 violations.append(f"said not to have run: {record.job_id}")
         return violations
 
+    def describe(self, task) -> str:
+        """Return a task with the times and ends of its runs."""
+        runs = [run for run in self.platform.runs() if run.task == task]
+        runs.sort(key=lambda run: run.started_at)
+        zero = runs[0].started_at
+        texts = [
+            f"{run.number} {run.started_at - zero:.3f}"
+            f" to {(run.ended_at or zero) - zero:.3f} {run.how}"
+            for run in runs
+        ]
+        return f"{task}: {'; '.join(texts)}"
+
     def summary(self):
         """Return the figures of the run as text."""
         statuses = collections.Counter(s for job in self.jobs for s in job.statuses)
