Give links up by echoed times, so that both ends agree when runs are over

Cause: an entry took the runs of a lost owner to be over 1.47 s after the owner's last message. An owner that did not know of the loss kept starting what it found in its buffers after a pause, or what an entry sent that no longer heard it (a cut of one direction), and its orders lived for a lease after that.

Change: each frame carries its sender's time and echoes the peer's newest time. A link without a recent echo is closed, and a frame without one is not acted on. `abandoned_s` adds the grace for entries and the ticks, which it had left out: 1.72 s instead of 1.47 s. A stop order without an answer is sent again at once, as the renewed lease would keep its run.

The soak now also cuts, resets and delays the connections between daemons, keeps the logs of a violation (`--logs`), and ends its daemons on SIGTERM.

--- a/packages/core/carobramp_core/cells/events.py
+++ b/packages/core/carobramp_core/cells/events.py
@@ -294,6 +294,9 @@
     elif isinstance(event.outcome, Rejected):
         if event.outcome.refusal == Refusal.FENCED:
             depose(owner, upstream, effects)
+    elif now - event.sent_at >= owner.limits.order_timeout_s and not upstream.suspect:
+        # The order may be lost or late; its run would go on with the renewed lease.
+        owner.stop(run, now, effects)
     else:
         run.stop_sent_at = now
 
--- a/packages/core/carobramp_core/cells/limits.py
+++ b/packages/core/carobramp_core/cells/limits.py
@@ -24,9 +24,10 @@
     hold_margin_s : time beyond `hold_wait_s` until a hold counts as unanswered;
         two unanswered holds in a row must fit into the lease
     stop_s : time that an upstream takes to stop a run
-    link_silence_s : silence after which a link between entry and owner is closed;
-        four heartbeats
+    link_silence_s : age of the newest echo at which a link between entry and owner
+        is closed; four heartbeats
     heartbeat_s : time between heartbeats on a link
+    tick_s : time between the ticks of entries and owners
     orphan_s : time after a takeover in which entries claim runs that go on;
         unclaimed ones are stopped before a caller may send the job again
     entry_grace_s : time in which an entry may link again before its runs are stopped;
@@ -41,6 +42,7 @@
     stop_s: float = 0.05
     link_silence_s: float = 0.4
     heartbeat_s: float = 0.1
+    tick_s: float = 0.05
     orphan_s: float = 0.3
     entry_grace_s: float = 0.15
     resend_s: float = 1.3
@@ -52,7 +54,9 @@
     def abandoned_s(self) -> float:
         """Return the time after a link's last message by which its runs are over.
 
-        The owner notices the silence and stops the runs, or has died with them
-        renewed at that moment.
+        The owner gives the link up when the echo of that message is too old, and
+        stops the entry's runs after a grace. Upstreams that such a stop does not
+        reach may have been renewed just before it.
         """
-        return self.link_silence_s + self.lapse_s() + self.stop_s
+        noticed_s = self.link_silence_s + self.heartbeat_s
+        return noticed_s + self.entry_grace_s + self.tick_s + self.lapse_s()
--- a/packages/core/carobramp_core/cells/tests/test_owner.py
+++ b/packages/core/carobramp_core/cells/tests/test_owner.py
@@ -8,11 +8,13 @@
     EndKind,
     EntryLost,
     Listed,
+    NoAnswer,
     Refusal,
     Rejected,
     RunId,
     RunningEntry,
     StartAnswered,
+    StopAnswered,
     UpstreamState,
 )
 from carobramp_core.cells.tests.support import (
@@ -210,6 +212,19 @@
         self.assertEqual(stops(self.bench.tick(0.01)), [])
         self.assertEqual(len(stops(self.bench.tick(LIMITS.entry_grace_s))), 1)
 
+    def test_stop_without_answer_is_sent_again(self):
+        """Guards against a run that goes on because its stop was lost.
+
+        The upstream's lease is renewed for the sake of other runs, so that the
+        caller's next request would run the task a second time.
+        """
+        self.bench.handle(EntryLost("front-1"))
+        (order,) = stops(self.bench.tick(LIMITS.entry_grace_s))
+        sent_at = self.bench.now
+        self.bench.now += LIMITS.order_timeout_s
+        effects = self.bench.handle(StopAnswered(order, NoAnswer("lost"), sent_at))
+        self.assertEqual([o.run_id for o in stops(effects)], [order.run_id])
+
     def test_entry_that_links_again_keeps_its_run(self):
         """Guards against work thrown away when a connection is reset."""
         self.bench.handle(EntryLost("front-1"))
--- a/packages/daemon/carobramp_daemon/cells/entry.py
+++ b/packages/daemon/carobramp_daemon/cells/entry.py
@@ -21,8 +21,6 @@
 from carobramp_core.cells.ports import Link
 from carobramp_daemon.cells.clock import now
 
-TICK_S = 0.05
-
 
 class EntryService(Service):
     """Open requests of one daemon.
@@ -130,6 +128,6 @@
     async def tick(self):
         """Let time pass."""
         while not self.should_stop:
-            await asyncio.sleep(TICK_S)
+            await asyncio.sleep(self.entry.limits.tick_s)
             self.metrics.set("open_requests", len(self.answers))
             self.dispatch(EntryTick())
--- a/packages/daemon/carobramp_daemon/cells/links.py
+++ b/packages/daemon/carobramp_daemon/cells/links.py
@@ -7,6 +7,13 @@
 every daemon. As gRPC streams the links of an owner with five entries took 5% of a
 core; as messages with their length in front they take half of that. Calls between
 daemons stay on gRPC.
+
+Each frame carries the time of its sender and, as an echo, the newest time that the
+sender has received from its peer. A link is live while the echo of what this end has
+sent is recent. Both ends thus give a link up on the same evidence: a link that carries
+one direction only is not live, and neither is one on which frames are queued. A frame
+that arrives without a recent echo is not acted on, as its tasks may be offered
+elsewhere by now.
 """
 
 import asyncio
@@ -21,20 +28,15 @@
 from carobramp_daemon.cells.clock import now
 from carobramp_schema.generated import cells_pb2 as pb
 
-LENGTH = struct.Struct("!I")
+# Length of the message, time of the sender, and the echo of the peer's time.
+HEADER = struct.Struct("!Idd")
 MAX_FRAME_BYTES = 1 << 20
 # Bytes that may wait for a peer that does not read; the link is closed beyond.
 MAX_WAITING_BYTES = 4 << 20
 NUMBERS = itertools.count(1)
 
 
-def pack(frame: pb.Frame) -> bytes:
-    """Return a frame with its length in front."""
-    data = frame.SerializeToString()
-    return LENGTH.pack(len(data)) + data
-
-
-HEARTBEAT = pack(pb.Frame(heartbeat=pb.Heartbeat()))
+HEARTBEAT = pb.Frame(heartbeat=pb.Heartbeat()).SerializeToString()
 
 
 class FrameLink(asyncio.Protocol):
@@ -45,14 +47,25 @@
 
     on_frame : called with the link and each frame
     on_closed : called once with the link and a reason when it is closed
+
+    Attributes
+    ==========
+
+    heard_at : time of the last frame
+    confirmed_at : time of the newest frame of this end that the peer has echoed
+    peer_time : newest time on the peer's clock, the echo in frames of this end
     """
 
-    def __init__(self, on_frame, on_closed):
+    def __init__(self, on_frame, on_closed, limits: CellLimits):
         self.on_frame = on_frame
         self.on_closed = on_closed
+        self.limits = limits
         self.transport: asyncio.Transport | None = None
         self.buffer = bytearray()
         self.heard_at = now()
+        self.confirmed_at = self.heard_at
+        self.peer_time = 0.0
+        self.written_at = self.heard_at
         self.reason = ""
 
     def connection_made(self, transport):
@@ -67,23 +80,32 @@
 
     def data_received(self, data):
         """Take bytes and pass on the complete frames."""
-        self.heard_at = now()
         self.buffer += data
         start = 0
         while self.transport is not None:
-            body = start + LENGTH.size
+            body = start + HEADER.size
             if len(self.buffer) < body:
                 break
-            (size,) = LENGTH.unpack_from(self.buffer, start)
+            size, peer_time, echo = HEADER.unpack_from(self.buffer, start)
             if size > MAX_FRAME_BYTES:
                 self.close(f"a frame of {size} bytes")
                 return
             if len(self.buffer) < body + size:
                 break
-            self.take(bytes(self.buffer[body : body + size]))
+            self.confirm(peer_time, echo)
+            if self.transport is not None:
+                self.take(bytes(self.buffer[body : body + size]))
             start = body + size
         del self.buffer[:start]
 
+    def confirm(self, peer_time, echo):
+        """Take the times in a header; close the link if the echo is too old."""
+        self.heard_at = now()
+        self.peer_time = max(self.peer_time, peer_time)
+        if self.confirmed_at < echo <= self.heard_at:
+            self.confirmed_at = echo
+        self.check()
+
     def take(self, data):
         """Pass on one frame."""
         try:
@@ -93,13 +115,15 @@
 
     def send(self, message):
         """Send a message."""
-        self.write(pack(frames.encode(message)))
+        self.write(frames.encode(message).SerializeToString())
 
     def write(self, data):
-        """Send packed frames; a closed link drops them."""
+        """Send one serialized frame; a closed link drops it."""
         if self.transport is None:
             return
-        self.transport.write(data)
+        self.written_at = now()
+        header = HEADER.pack(len(data), self.written_at, self.peer_time)
+        self.transport.write(header + data)
         if self.transport.get_write_buffer_size() > MAX_WAITING_BYTES:
             self.close("the peer does not read")
 
@@ -109,11 +133,11 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def check(self, limits: CellLimits):
-        """Close the link if the peer has been silent."""
-        silent_s = now() - self.heard_at
-        if silent_s > limits.link_silence_s:
-            self.close(f"silent for {silent_s:.3f} s")
+    def check(self):
+        """Close the link if the peer has not echoed anything recent."""
+        silent_s = now() - self.confirmed_at
+        if silent_s > self.limits.link_silence_s:
+            self.close(f"no echo for {silent_s:.3f} s")
 
 
 class LocalLink:
@@ -158,7 +182,8 @@
         try:
             async with asyncio.timeout(self.limits.link_silence_s):
                 _, self.link = await loop.create_connection(
-                    lambda: FrameLink(self.on_frame, self.on_closed), *self.address
+                    lambda: FrameLink(self.on_frame, self.on_closed, self.limits),
+                    *self.address,
                 )
         except (OSError, TimeoutError) as error:
             return repr(error)
@@ -171,16 +196,20 @@
     async def serve(self, link: FrameLink):
         """Introduce this entry and send heartbeats until the link is closed."""
         hello = pb.Hello(cell=self.cell, vm=self.vm, entry=f"{self.vm}/{next(NUMBERS)}")
-        link.write(pack(pb.Frame(hello=hello)))
+        link.write(pb.Frame(hello=hello).SerializeToString())
         while not self.closed.done():
             await asyncio.wait([self.closed], timeout=self.limits.heartbeat_s)
-            link.write(HEARTBEAT)
-            link.check(self.limits)
+            if now() - link.written_at >= self.limits.heartbeat_s:
+                link.write(HEARTBEAT)
+            link.check()
         return self.closed.result()
 
     def on_frame(self, link: FrameLink, frame: pb.Frame):
         """Pass a message of the owner to the entry."""
         message = frames.decode(frame)
+        if isinstance(message, Room):
+            # The owner's heartbeat is answered at once, so that its echo is recent.
+            link.write(HEARTBEAT)
         if not self.found and isinstance(message, Room):
             self.found = True
             self.entry_service.owner_found(self.cell, message.token, link)
@@ -224,7 +253,7 @@
 
     def new_link(self):
         """Return the protocol of a new connection."""
-        link = FrameLink(self.on_frame, self.on_closed)
+        link = FrameLink(self.on_frame, self.on_closed, self.limits)
         self.strangers.add(link)
         return link
 
@@ -257,6 +286,6 @@
         for link, (service, _) in list(self.links.items()):
             if self.owned.get(service.owner.cell) is not service:
                 link.close("no longer the owner")
-            link.check(self.limits)
+            link.check()
         for link in list(self.strangers):
-            link.check(self.limits)
+            link.check()
--- a/packages/daemon/carobramp_daemon/cells/owner.py
+++ b/packages/daemon/carobramp_daemon/cells/owner.py
@@ -27,10 +27,9 @@
 from carobramp_core.platform import Unavailable
 from carobramp_daemon.cells import frames
 from carobramp_daemon.cells.clock import now
-from carobramp_daemon.cells.links import FrameLink, pack
+from carobramp_daemon.cells.links import FrameLink
 from carobramp_daemon.cells.tasks import spawn
 
-TICK_S = 0.05
 # A draining upstream must be known well within the two seconds that the platform
 # grants; a read takes up to 0.1 s on a slow store.
 LIST_INTERVAL_S = 0.4
@@ -193,17 +192,20 @@
 
     @Service.task
     async def tick(self):
-        """Let time pass, and send heartbeats with the state of the cell."""
-        beat_at = 0.0
+        """Let time pass."""
         while not self.should_stop:
-            await asyncio.sleep(TICK_S)
+            await asyncio.sleep(self.limits.tick_s)
             self.dispatch(Tick())
-            if now() - beat_at >= self.limits.heartbeat_s:
-                beat_at = now()
-                room = self.owner.room(beat_at)
-                packed = pack(frames.encode(room))
-                for link in list(self.links.values()):
-                    if isinstance(link, FrameLink):
-                        link.write(packed)
-                    else:
-                        link.send(room)
+
+    @Service.task
+    async def send_heartbeats(self):
+        """Send heartbeats with the state of the cell."""
+        while not self.should_stop:
+            await asyncio.sleep(self.limits.heartbeat_s)
+            room = self.owner.room(now())
+            data = frames.encode(room).SerializeToString()
+            for link in list(self.links.values()):
+                if isinstance(link, FrameLink):
+                    link.write(data)
+                else:
+                    link.send(room)
--- a/packages/testing/carobramp_testing/chaos/leased.py
+++ b/packages/testing/carobramp_testing/chaos/leased.py
@@ -4,10 +4,11 @@
 ===========
 
 Real daemons run as separate processes. A schedule drawn from a seed stops, pauses,
-kills and restarts them, cuts their relays to the store and to the upstreams, resets
-or delays what the relays hold, and lets the store and the upstreams misbehave; faults
-overlap and come in series. Callers keep their connections, and send a job again after
-a broken answer, at any daemon. The checks use only what callers and upstreams saw.
+kills and restarts them, cuts their relays to the store, to upstreams and to each other,
+in one direction or both, resets or delays what the relays hold, and lets the store and
+the upstreams misbehave; faults overlap and come in series. Callers keep their
+connections, and send a job again after a broken answer, at any daemon. The checks use
+only what callers and upstreams saw.
 
 Run as ``python -m carobramp_testing.chaos.leased --seed=1 --seconds=60``.
 """
@@ -16,7 +17,9 @@
 import asyncio
 import collections
 import dataclasses
+import pathlib
 import random
+import shutil
 import signal
 import sys
 
@@ -33,6 +36,8 @@
 BROKEN = (0, 502, 504)
 MAX_TRIES = 4
 OWNER_SHARE = 0.5
+# Share of the cuts whose end delivers what was held instead of dropping it.
+LATE_SHARE = 0.5
 FAULT_GAP_S = (0.2, 1.5)
 FAULT_S = (0.3, 4.0)
 # Time after the last fault within which every daemon serves again.
@@ -43,6 +48,9 @@
     "pause",
     "cut_store",
     "reset_store",
+    "cut_peers",
+    "cut_peers_one_way",
+    "reset_peers",
     "cut_worker",
     "late_worker",
     "fail_worker",
@@ -75,13 +83,16 @@
 
     seed : draws the faults and the jobs
     seconds : time during which faults begin
+    logs : folder that keeps the daemons' logs when a check fails
     """
 
-    def __init__(self, seed, seconds, workers=4, daemons=2):
+    def __init__(self, seed, seconds, workers=4, daemons=2, logs=None):
         # Callers draw on their own, so that their timing does not change the faults.
+        self.seed = seed
         self.rng = random.Random(seed)
         self.caller_rng = random.Random(seed + 1)
         self.seconds = seconds
+        self.logs = logs
         self.platform = LeasedPlatform(workers=workers)
         self.deployment = LeasedDeployment(self.platform, daemons, relays=True)
         self.jobs: list[JobRecord] = []
@@ -99,7 +110,11 @@
                 await asyncio.sleep(self.rng.uniform(*FAULT_GAP_S))
             callers.cancel()
             await asyncio.gather(*self.running)
-            return [*await self.check_recovery(), *self.check_runs()]
+            violations = [*await self.check_recovery(), *self.check_runs()]
+            if violations and self.logs:
+                folder = pathlib.Path(self.logs, f"seed-{self.seed}")
+                shutil.copytree(self.deployment.folder.name, folder, dirs_exist_ok=True)
+            return violations
 
     def spawn(self, coroutine):
         """Run something beside the rest; `run` waits for it."""
@@ -164,12 +179,28 @@
             daemon.send_signal(signal.SIGCONT)
         elif kind == "reset_store":
             self.deployment.store_relays[daemon.name].drop()
+        elif kind.endswith(("peers", "peers_one_way")):
+            await self.peer_fault(kind, daemon, seconds)
         else:
             relay = self.deployment.store_relays[daemon.name]
             relay.cut()
             await asyncio.sleep(seconds)
             self.rng.choice((relay.mend, relay.deliver))()
 
+    async def peer_fault(self, kind, daemon, seconds):
+        """Reset or cut the connections of other daemons to a daemon."""
+        relays = self.deployment.peer_relays[daemon.name]
+        if kind == "reset_peers":
+            for relay in relays:
+                relay.drop()
+            return
+        for relay in relays:
+            (relay.cut if kind == "cut_peers" else relay.cut_back)()
+        await asyncio.sleep(seconds)
+        late = self.rng.random() < LATE_SHARE
+        for relay in relays:
+            (relay.deliver if late else relay.mend)()
+
     async def worker_fault(self, kind, seconds):
         """Let a worker or the way to it misbehave."""
         name = self.rng.choice(list(self.platform.workers))
@@ -271,14 +302,22 @@
         return f"{len(self.jobs)} jobs, answers {dict(statuses)}, faults: {faults}"
 
 
+async def run_until_signalled(chaos: LeasedChaos):
+    """Run; a signal to end it ends the processes that it started too."""
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+    return await chaos.run()
+
+
 def main():
     """Run one seed and print its violations; return the exit status."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--logs", help="folder that keeps the logs of a violation")
     options = parser.parse_args()
-    chaos = LeasedChaos(options.seed, options.seconds)
-    violations = asyncio.run(chaos.run())
+    chaos = LeasedChaos(options.seed, options.seconds, logs=options.logs)
+    violations = asyncio.run(run_until_signalled(chaos))
     print(f"seed {options.seed}: {chaos.summary()}")
     for violation in violations:
         print(f"violation: {violation}")
--- a/packages/testing/carobramp_testing/leased.py
+++ b/packages/testing/carobramp_testing/leased.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import os
 import pathlib
 import random
@@ -35,6 +36,9 @@
 address = "{store}"
 """
 FRONT_PORT, READY_PORT, METRICS_PORT = 8161, 8167, 7735
+CALL_PORT, LINK_PORT = 7720, 7721
+# Daemons have the last numbers of their addresses from 1 on, their relays from here.
+RELAY_NUMBER = 101
 STOP_TIMEOUT_S = 8.0
 # A probe without an answer is repeated, as the platform's balancer does.
 READY_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
@@ -110,7 +114,8 @@
     ==========
 
     daemons : number of daemons in each zone
-    relays : whether daemons reach the store and the workers through relays
+    relays : whether daemons reach the store, the workers and each other through
+        relays
     """
 
     def __init__(self, platform: LeasedPlatform, daemons=2, relays=False):
@@ -119,6 +124,8 @@
         self.relays = relays
         self.store_relays: dict[str, Relay] = {}
         self.worker_relays: dict[str, Relay] = {}
+        # Relays of the ports on which a daemon listens for others.
+        self.peer_relays: dict[str, list[Relay]] = {}
         self.folder = tempfile.TemporaryDirectory(prefix="carobramp-")
         self.daemons: dict[str, Daemon] = {}
         self.session: aiohttp.ClientSession
@@ -138,13 +145,15 @@
         folder = pathlib.Path(self.folder.name)
         for zone in self.platform.zones:
             for number in range(self.per_zone):
-                ip = f"{subnet}.{len(self.daemons) + 1}"
+                place = len(self.daemons)
+                ip = f"{subnet}.{place + 1}"
                 daemon = Daemon(f"{zone}-{number}", zone, ip, folder)
                 store = self.platform.store.address
                 if self.relays:
                     relay = await new_relay(store)
                     self.store_relays[daemon.name] = relay
                     store = address_of(relay)
+                    await self.relay_peers(daemon, f"{subnet}.{RELAY_NUMBER + place}")
                 text = SETTINGS.format(
                     name=daemon.name,
                     ip=ip,
@@ -158,12 +167,21 @@
         await wait_for(self.all_ready)
         return self
 
+    async def relay_peers(self, daemon: Daemon, host):
+        """Let other daemons reach a daemon at another host, through relays."""
+        self.peer_relays[daemon.name] = [
+            await Relay(daemon.ip, port).start(host, port)
+            for port in (CALL_PORT, LINK_PORT)
+        ]
+        self.platform.store.aliases[daemon.ip] = host
+
     async def __aexit__(self, *_):
         """End everything that was started."""
         for daemon in self.daemons.values():
             daemon.send_signal(signal.SIGCONT)
         await asyncio.gather(*(daemon.end() for daemon in self.daemons.values()))
-        for relay in [*self.store_relays.values(), *self.worker_relays.values()]:
+        relays = [*self.store_relays.values(), *self.worker_relays.values()]
+        for relay in itertools.chain(relays, *self.peer_relays.values()):
             await relay.stop()
         await self.platform.stop()
         await self.session.close()
--- a/packages/testing/carobramp_testing/relay.py
+++ b/packages/testing/carobramp_testing/relay.py
@@ -11,19 +11,26 @@
     A cut link holds data in both directions and accepts connections without an
     answer, as a partition without resets does. `mend` drops the old connections
     with what they hold; `deliver` lets the held data arrive late instead.
+
+    Parameters
+    ==========
+
+    host, port : target of the connections
     """
 
     def __init__(self, host="", port=0):
         self.target = (host, port)
         self.address = ("", 0)
         self.server: asyncio.Server
-        self.open = asyncio.Event()
-        self.open.set()
+        # Whether data passes to the target, and back from it.
+        self.there = asyncio.Event()
+        self.back = asyncio.Event()
+        self.deliver()
         self.connections: set[asyncio.Task] = set()
 
-    async def start(self):
-        """Listen on a port that the system chooses."""
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+    async def start(self, host="127.0.0.1", port=0):
+        """Listen; on port 0 the system chooses one."""
+        self.server = await asyncio.start_server(self.serve, host, port)
         self.address = self.server.sockets[0].getsockname()[:2]
         return self
 
@@ -36,16 +43,22 @@
 
     def cut(self):
         """Let nothing pass."""
-        self.open.clear()
+        self.there.clear()
+        self.back.clear()
+
+    def cut_back(self):
+        """Let nothing pass from the target."""
+        self.back.clear()
 
     def mend(self):
         """Let data pass again, on new connections."""
         self.drop()
-        self.open.set()
+        self.deliver()
 
     def deliver(self):
         """Let held data arrive, late, and further data pass."""
-        self.open.set()
+        self.there.set()
+        self.back.set()
 
     def drop(self):
         """Close all connections."""
@@ -67,22 +80,22 @@
 
     async def forward(self, reader, writer):
         """Copy both directions until one side closes."""
-        await self.open.wait()
+        await self.there.wait()
         far_reader, far_writer = await asyncio.open_connection(*self.target)
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self.copy(reader, far_writer))
-                group.create_task(self.copy(far_reader, writer))
+                group.create_task(self.copy(reader, far_writer, self.there))
+                group.create_task(self.copy(far_reader, writer, self.back))
         except* OSError:
             pass
         finally:
             far_writer.close()
 
-    async def copy(self, reader, writer):
-        """Copy one direction while the link is open."""
+    async def copy(self, reader, writer, way):
+        """Copy one direction while that way is open."""
         while data := await reader.read(READ_BYTES):
-            await self.open.wait()
+            await way.wait()
             writer.write(data)
             await writer.drain()
-        await self.open.wait()
+        await way.wait()
         writer.write_eof()
--- a/packages/testing/carobramp_testing/standins/leased/store.py
+++ b/packages/testing/carobramp_testing/standins/leased/store.py
@@ -43,6 +43,8 @@
         self.version = 0
         self.changed = asyncio.Condition()
         self.faults = StoreFaults()
+        # Hosts in rows that readers see under another name, such as that of a relay.
+        self.aliases: dict[str, str] = {}
         self.calls: dict[str, int] = {}
         self.address = ""
         self.runner: web.AppRunner
@@ -101,6 +103,14 @@
         if len(self.history) > HISTORY:
             self.forgotten = self.history.pop(0)["ver"]
 
+    def with_alias(self, value):
+        """Return the value of a row with its host replaced by its alias."""
+        if not self.aliases:
+            return value
+        content = json.loads(base64.b64decode(value))
+        content["host"] = self.aliases.get(content.get("host"), content.get("host"))
+        return base64.b64encode(json.dumps(content).encode()).decode()
+
     async def wake(self):
         """Let the feeds see what changed."""
         async with self.changed:
@@ -138,7 +148,8 @@
                 return web.json_response({"rows": rows}, status=412)
         self.version += 1
         for entry in body.get("puts", ()):
-            self.apply(entry["table"], entry["part"], entry["key"], entry["value"])
+            value = self.with_alias(entry["value"])
+            self.apply(entry["table"], entry["part"], entry["key"], value)
         for entry in body.get("remove", ()):
             self.apply(entry["table"], entry["part"], entry["key"], None)
         await self.wake()
