Cancel the soak's own task on SIGTERM

Cause: the type checker rejects `current_task()`, which may be None. Change: the run is a task of its own, which the signal cancels.

--- a/packages/testing/carobramp_testing/chaos/leased.py
+++ b/packages/testing/carobramp_testing/chaos/leased.py
@@ -304,9 +304,10 @@
 
 async def run_until_signalled(chaos: LeasedChaos):
     """Run; a signal to end it ends the processes that it started too."""
+    running = asyncio.create_task(chaos.run())
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
-    return await chaos.run()
+    loop.add_signal_handler(signal.SIGTERM, running.cancel)
+    return await running
 
 
 def main():
