Name a deputy that takes a cell over while the store is out of reach

The same happens to every cell whose owner is lost while the store is down.

Ruled out: a claim by whoever hears nobody (two could take the same token); owners that do not stop (a planned stop is followed by SIGKILL, and a crash is not planned).

Change: tokens of claims are multiples of 64. An owner names one live daemon, in its zone if there is one, as its deputy and gives it the next token of its own block, each token once. When the store does not answer the deputy's claim it takes the cell over under that token, on the upstreams that the owner has told it, and claims the cell anew when the store is back. Entries look for the deputy beside the owner's row. A leaving daemon asks its deputy first, and owns what nobody takes until its time is up. Run numbers of one owner now stay within its token.

Conclusion: a zone serves on when its owner goes while the store is away, as long as one more daemon of it lives.

--- a/packages/core/carobramp_core/cells/claims.py
+++ b/packages/core/carobramp_core/cells/claims.py
@@ -1,6 +1,21 @@
-"""When a daemon takes over a cell."""
+"""When a daemon takes over a cell, and under which fencing token.
+
+Explanation
+===========
+
+A claim is a transaction on the cell's row in the store. For times in which the store
+is out of reach, the owner names one live daemon as its deputy and gives it a token of
+its own; the deputy may take the cell over under that token without the store. Tokens
+are unique: a claim takes the first of a block, and the owner gives away the others of
+its block, each once. What two owners could do at one time is prevented by the tokens
+alone, as after any other takeover.
+"""
 
 import dataclasses
+from collections.abc import Iterable
+from typing import Protocol
+
+from carobramp_core.cells.orders import ListedUpstream
 
 # Time for which daemons of the cell's own zone may go first.
 OTHER_ZONE_DELAY_S = 0.8
@@ -14,6 +29,9 @@
 # Time for which a daemon of the cell's zone has to be live before it takes the cell
 # back from an owner in another zone.
 RETURN_DELAY_S = 1.5
+# Tokens of one claim: the first for the claim, the others for deputies. A deputy is
+# replaced only when its link is lost.
+TOKEN_BLOCK = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,3 +100,89 @@
     if view.leaving or view.owner_fits or not view.same_zone or view.rank:
         return False
     return view.up_s >= RETURN_DELAY_S
+
+
+class Candidate(Protocol):
+    """A daemon that may own a cell."""
+
+    vm: str
+    availability_zone: str
+
+    def rank_key(self):
+        """Return the key by which candidates are ordered, the best first."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deputy:
+    """The daemon that may take a cell over without the store.
+
+    Parameters
+    ==========
+
+    incarnation : process of the daemon; a later one has no right to the token
+    token : fencing token that is the deputy's alone
+    upstreams : upstreams of the cell, for the deputy itself
+    """
+
+    vm: str
+    host: str
+    link_port: int
+    incarnation: str
+    token: int
+    upstreams: tuple[ListedUpstream, ...] = ()
+
+
+def claim_token(present: int) -> int:
+    """Return the token of a claim that follows the token in the cell's row.
+
+    Examples
+    ========
+
+    >>> claim_token(0), claim_token(64), claim_token(66)
+    (64, 128, 128)
+    """
+    return (present // TOKEN_BLOCK + 1) * TOKEN_BLOCK
+
+
+def deputy_token(own: int, given: int) -> int | None:
+    """Return the token of the next deputy, or None if the owner has none to give.
+
+    Parameters
+    ==========
+
+    own : token of the owner; one that is itself a deputy's gives none away
+    given : newest token that the owner has given away, or its own
+
+    Examples
+    ========
+
+    >>> deputy_token(64, 64), deputy_token(64, 65), deputy_token(64, 127)
+    (65, 66, None)
+    >>> deputy_token(65, 65) is None
+    True
+    """
+    if own % TOKEN_BLOCK:
+        return None
+    following = given + 1
+    return following if following % TOKEN_BLOCK else None
+
+
+def choose_deputy(
+    cell: str, candidates: Iterable[Candidate], present: str | None
+) -> str | None:
+    """Return the VM that should be the deputy of a cell's owner.
+
+    Parameters
+    ==========
+
+    candidates : daemons with a live link to the owner, without the owner
+    present : the present deputy, which is kept while it is among the best zone's
+    """
+    ranked = sorted(
+        candidates, key=lambda vm: (vm.availability_zone != cell, vm.rank_key())
+    )
+    if not ranked:
+        return None
+    best_zone = ranked[0].availability_zone
+    same = [item.vm for item in ranked if item.availability_zone == best_zone]
+    return present if present in same else same[0]
--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -45,8 +45,9 @@
 
 DEFAULT_RUN_MS = 200.0
 # Runs of one owner are numbered within its token, so that every run of a later
-# owner has a higher number than those of earlier ones.
-RUNS_PER_TOKEN = 1 << 24
+# owner has a higher number than those of earlier ones. Numbers begin anew after half
+# an hour at 500 starts a second, when no task of the first ones is left.
+RUNS_PER_TOKEN = 1 << 20
 # Waiting tasks that one pass tries to place; the rest has less to lose.
 PLACED_PER_PASS = 64
 RETRY_AFTER_MIN_S = 0.5
@@ -70,7 +71,7 @@
         self.limits = limits
         self.since = now
         self.taken_over = taken_over
-        self.run_number = token * RUNS_PER_TOKEN
+        self.starts = 0
         self.upstreams: dict[str, Upstream] = {}
         self.listed = False
         self.services: dict[str, list[Upstream]] = {}
@@ -142,8 +143,9 @@
 
     def start(self, task: Waiting, upstream: Upstream, now, effects) -> RunId:
         """Order an upstream to start a task; return the id of the run."""
-        self.run_number += 1
-        run_id = RunId(task.job.job_id, task.index, self.run_number)
+        self.starts += 1
+        number = self.token * RUNS_PER_TOKEN + self.starts % RUNS_PER_TOKEN
+        run_id = RunId(task.job.job_id, task.index, number)
         run = Run(
             run_id,
             upstream.name,
--- a/packages/core/carobramp_core/cells/ports.py
+++ b/packages/core/carobramp_core/cells/ports.py
@@ -46,6 +46,9 @@
     def loaded(self) -> bool:
         """Whether the table was read once."""
 
+    def reachable(self) -> bool:
+        """Whether the last call of the store had an answer."""
+
     def rows(self) -> dict[str, Row]:
         """Return the rows as last seen, by key."""
 
--- a/packages/core/carobramp_core/cells/tests/test_claims.py
+++ b/packages/core/carobramp_core/cells/tests/test_claims.py
@@ -3,7 +3,15 @@
 import dataclasses
 import unittest
 
-from carobramp_core.cells.claims import ClaimView, decide_claim, decide_return
+from carobramp_core.cells.claims import (
+    TOKEN_BLOCK,
+    ClaimView,
+    choose_deputy,
+    claim_token,
+    decide_claim,
+    decide_return,
+    deputy_token,
+)
 
 VIEW = ClaimView(
     owned=True,
@@ -57,3 +65,46 @@
         self.assertTrue(decide_return(view(owner_fits=False)))
         self.assertFalse(decide_return(view()))
         self.assertFalse(decide_return(view(owner_fits=False, up_s=0.5)))
+
+
+@dataclasses.dataclass(frozen=True)
+class Vm:
+    """A daemon that may be a deputy."""
+
+    vm: str
+    availability_zone: str
+    cores: float = 1.0
+
+    def rank_key(self):
+        """Return the key by which candidates are ordered."""
+        return -self.cores, self.vm
+
+
+class DeputyTests(unittest.TestCase):
+    """The daemon that may take a cell over without the store."""
+
+    def test_deputy_is_in_the_zone_of_the_cell(self):
+        """Guards against a deputy that a cut of the zone separates from it."""
+        vms = [Vm("breda-1", "breda", 4.0), Vm("tilburg-2", "tilburg")]
+        self.assertEqual(choose_deputy("tilburg", vms, None), "tilburg-2")
+        self.assertEqual(choose_deputy("tilburg", vms, "breda-1"), "tilburg-2")
+
+    def test_live_deputy_is_kept(self):
+        """Guards against a token for each daemon that comes and goes."""
+        vms = [Vm("tilburg-1", "tilburg", 4.0), Vm("tilburg-2", "tilburg")]
+        self.assertEqual(choose_deputy("tilburg", vms, "tilburg-2"), "tilburg-2")
+
+    def test_lone_daemon_has_none(self):
+        """Guards against a deputy that is not there."""
+        self.assertIsNone(choose_deputy("tilburg", [], "tilburg-2"))
+
+    def test_no_token_is_given_twice(self):
+        """Guards against two owners that upstreams cannot tell apart."""
+        own = claim_token(0)
+        given, tokens = own, []
+        while (token := deputy_token(own, given)) is not None:
+            given = token
+            tokens.append(token)
+        self.assertEqual(len(set(tokens)), TOKEN_BLOCK - 1)
+        self.assertLess(max(tokens), claim_token(own))
+        self.assertEqual([t for t in tokens if deputy_token(t, t) is not None], [])
--- a/packages/core/carobramp_core/cells/tests/test_owner.py
+++ b/packages/core/carobramp_core/cells/tests/test_owner.py
@@ -17,6 +17,7 @@
     StopAnswered,
     UpstreamState,
 )
+from carobramp_core.cells.owner import RUNS_PER_TOKEN
 from carobramp_core.cells.tests.support import (
     LIMITS,
     OwnerBench,
@@ -178,6 +179,20 @@
         self.assertEqual(starts(bench.offer(job("0" * 16))), [])
 
 
+class RunNumberTests(unittest.TestCase):
+    """Numbers of runs tell owners apart."""
+
+    def test_numbers_stay_below_those_of_the_next_owner(self):
+        """Guards against starts that an upstream refuses as older than the last."""
+        bench = OwnerBench(upstream())
+        bench.answer_hold()
+        bench.owner.starts = 2 * RUNS_PER_TOKEN - 1
+        (order,) = starts(bench.offer(job()))
+        token = bench.owner.token
+        self.assertGreaterEqual(order.run_id.run, token * RUNS_PER_TOKEN)
+        self.assertLess(order.run_id.run, (token + 1) * RUNS_PER_TOKEN)
+
+
 class UnlistedTests(unittest.TestCase):
     """An owner that has not read the list of upstreams yet."""
 
--- a/packages/daemon/carobramp_daemon/cells/fleet.py
+++ b/packages/daemon/carobramp_daemon/cells/fleet.py
@@ -4,22 +4,22 @@
 import contextlib
 import dataclasses
 
-import grpclib.exceptions
 import msgspec
-from google.protobuf.message import DecodeError
 from grpclib.client import Channel
 from grpclib.server import Server
 from mode import Service
 
 from carobramp_core.cells.claims import (
     RETURN_DELAY_S,
+    TOKEN_BLOCK,
     ClaimView,
+    Deputy,
     claim_delay_s,
+    claim_token,
     decide_claim,
     decide_return,
 )
 from carobramp_core.cells.limits import CellLimits
-from carobramp_core.cells.orders import HoldOrder, NoAnswer
 from carobramp_core.cells.owner import CellOwner
 from carobramp_core.cells.ports import FleetTable, UpstreamList, UpstreamOrders
 from carobramp_core.platform import (
@@ -35,34 +35,27 @@
 from carobramp_daemon.cells.frames import decode_upstream, encode_upstream
 from carobramp_daemon.cells.links import EntryLinks, LocalLink, RemoteLink
 from carobramp_daemon.cells.owner import OwnerService
+from carobramp_daemon.cells.questions import CALL_ERRORS, Questions
 from carobramp_daemon.cells.rows import CELL_PREFIX, VM_PREFIX, CellRow, VmRow
 from carobramp_daemon.cells.tasks import spawn
 from carobramp_schema.generated import cells_grpc
 from carobramp_schema.generated import cells_pb2 as pb
 
-CALL_ERRORS = (
-    OSError,
-    TimeoutError,
-    grpclib.exceptions.GRPCError,
-    grpclib.exceptions.StreamTerminatedError,
-    grpclib.exceptions.ProtocolError,
-    DecodeError,
-    AssertionError,
-)
 # An owner with less than this part of a candidate's cores gives its cell to it.
 OWNER_SIZE_PART = 0.6
-ASK_TIMEOUT_S = 0.15
-# The owner has already been silent on its link; the whole takeover of its cell has to
-# fit into what is left of the leases.
-OWNER_TIMEOUT_S = 0.1
-WITNESSES = 5
-PROBED_UPSTREAMS = 3
 RETRY_S = 0.1
 # An entry sees the row of a new owner some ms before the owner knows of its success.
 FAST_RETRY_S = 0.02
 FAST_RETRIES = 5
 ANNOUNCE_RETRY_S = 0.5
 HANDOVER_S = 1.0
+# Time between the attempts of a leaving daemon to hand its cells over.
+HANDOVER_RETRY_S = 0.2
+# Time between looks at whether an owner's deputy is still linked.
+DEPUTY_CHECK_S = 0.2
+# While an owner is silent, one of so many attempts to link goes to it and the others to
+# its deputy, which answers at once.
+OWNER_TRY_EVERY = 4
 # A link is heard when its last message is this recent.
 HEARD_S = 0.25
 
@@ -77,12 +70,14 @@
     silent_since : time since which no owner is heard; None while one is
     link : link to a remote owner, while one is open
     listed : upstreams as last listed, with which a takeover begins at once
+    deputy : deputy that the last owner has named
     """
 
     name: str
     silent_since: float | None
     link: RemoteLink | None = None
     listed: tuple = ()
+    deputy: Deputy | None = None
 
 
 class FleetService(Service, cells_grpc.CellsBase):
@@ -105,6 +100,7 @@
         self.table = table
         self.upstream_list = upstream_list
         self.orders = orders
+        self.questions = Questions(me, orders)
         self.entry_service = entry_service
         self.limits = limits
         self.metrics = metrics
@@ -186,15 +182,17 @@
             row, _ = self.cell_row(state.name)
             if row is not None and row.token != token:
                 token, tries = row.token, 0
-            if row is not None and row.vm != self.me.vm:
+            target = self.link_target(state, row, tries)
+            if target is not None and target.vm != self.me.vm:
                 link = RemoteLink(
                     state.name,
                     self.me.vm,
-                    (row.host, row.link_port),
+                    (target.host, target.link_port),
                     self.entry_service,
                     self.limits,
+                    lambda deputy: self.take_deputy(state, deputy),
                 )
-                await self.run_link(state, link, row)
+                await self.run_link(state, link, target)
             await self.consider(state)
             tries += 1
             await self.pause(FAST_RETRY_S if tries <= FAST_RETRIES else RETRY_S)
@@ -207,7 +205,40 @@
         except TimeoutError:
             return
 
-    async def run_link(self, state: CellState, link: RemoteLink, row: CellRow):
+    def link_target(self, state: CellState, row: CellRow | None, tries):
+        """Return where the owner of a cell is looked for: at its row or its deputy."""
+        if state.silent_since is None or not tries % OWNER_TRY_EVERY:
+            return row
+        return self.valid_deputy(state) or row
+
+    def valid_deputy(self, state: CellState) -> Deputy | None:
+        """Return the deputy of a cell, unless the cell was claimed since."""
+        row, _ = self.cell_row(state.name)
+        if state.deputy is None or row is None:
+            return None
+        same = state.deputy.token // TOKEN_BLOCK == row.token // TOKEN_BLOCK
+        return state.deputy if same else None
+
+    def is_deputy(self, state: CellState) -> bool:
+        """Whether this process may take a cell over without the store."""
+        deputy = self.valid_deputy(state)
+        return deputy is not None and deputy.incarnation == self.me.incarnation
+
+    def take_deputy(self, state: CellState, deputy: Deputy):
+        """Note whom the owner of a cell has named as its deputy."""
+        state.deputy = deputy
+        if deputy.incarnation == self.me.incarnation:
+            state.listed = deputy.upstreams
+            self.log_line.info(
+                "is deputy",
+                cell=state.name,
+                token=deputy.token,
+                upstreams=len(deputy.upstreams),
+            )
+
+    async def run_link(
+        self, state: CellState, link: RemoteLink, target: CellRow | Deputy
+    ):
         """Serve a link while its owner owns the cell."""
         state.link = link
         serving = asyncio.create_task(link.run())
@@ -222,9 +253,9 @@
                 if heard:
                     state.silent_since = None
                 present, _ = self.cell_row(state.name)
-                if present is not None and present.token > row.token:
+                if present is not None and present.token > target.token:
                     break
-                if heard and self.should_return(state, row):
+                if heard and self.should_return(state, target):
                     await self.consider(state)
         finally:
             if state.silent_since is None:
@@ -236,7 +267,7 @@
             state.link = None
             if link.found:
                 self.log_line.info(
-                    "link closed", cell=state.name, owner=row.vm, reason=reason
+                    "link closed", cell=state.name, owner=target.vm, reason=reason
                 )
 
     def fits(self, row: CellRow, cell):
@@ -246,10 +277,15 @@
             and row.cores >= OWNER_SIZE_PART * self.me.cores
         )
 
-    def should_return(self, state: CellState, row: CellRow):
-        """Whether this daemon is of the cell's zone and should own it instead."""
+    def should_return(self, state: CellState, target: CellRow | Deputy):
+        """Whether this daemon is of the cell's zone and should own it instead.
+
+        A deputy without a row of its own claims the cell first.
+        """
+        if isinstance(target, Deputy) or self.up_s() < RETURN_DELAY_S:
+            return False
         own = self.me.availability_zone == state.name
-        return own and not self.fits(row, state.name) and self.up_s() >= RETURN_DELAY_S
+        return own and not self.fits(target, state.name)
 
     def up_s(self):
         """Return the time since the start of this daemon."""
@@ -277,7 +313,8 @@
         if not heard and silent_s < claim_delay_s(view):
             return
         view, reached = await asyncio.gather(
-            self.survey(state.name, row, view), self.reaches(state.name)
+            self.questions.survey(state.name, row, self.vms().values(), view),
+            self.reaches(state),
         )
         wanted = decide_return(view) if heard else decide_claim(view)
         if not wanted:
@@ -285,7 +322,11 @@
         if row is not None and not reached:
             self.metrics.count("claims_dropped", "unreachable")
             return
-        if row is not None and not heard and await self.owner_answers(state.name, row):
+        if (
+            row is not None
+            and not heard
+            and await self.questions.owner_answers(state.name, row)
+        ):
             self.metrics.count("claims_dropped", "owner_answers")
             return
         self.log_line.info(
@@ -297,81 +338,42 @@
         )
         await self.claim(state, row, version)
 
-    async def survey(self, cell, row, view: ClaimView) -> ClaimView:
-        """Ask other daemons whether they hear the owner."""
-        silent = row.vm if row else ""
-        others = [v for v in self.vms().values() if v.vm not in (self.me.vm, silent)]
-        others.sort(key=lambda vm: (vm.availability_zone != cell, vm.rank_key()))
-        asked = others[:WITNESSES]
-        question = pb.OwnerQuestion(cell=cell, vm=row.vm if row else "")
-        replies = await asyncio.gather(*(self.ask(vm, question) for vm in asked))
-        answers = [reply for reply in replies if reply is not None]
-        known = {vm.vm: vm.rank_key() for vm in asked}
-        before = [
-            answer
-            for answer in answers
-            if answer.candidate and known.get(answer.vm, ()) < self.me.rank_key()
-        ]
-        return dataclasses.replace(
-            view,
-            rank=len(before),
-            witnesses=len(answers),
-            hearing=sum(answer.hears for answer in answers),
-        )
+    async def reaches(self, state: CellState) -> bool:
+        """Whether an upstream of a cell answers this daemon.
 
-    async def ask(
-        self, vm: VmRow, question, timeout=ASK_TIMEOUT_S
-    ) -> pb.OwnerAnswer | None:
-        """Ask one daemon whether it hears an owner."""
-        channel = Channel(vm.host, vm.port)
-        try:
-            async with asyncio.timeout(timeout):
-                return await cells_grpc.CellsStub(channel).HearsOwner(question)
-        except CALL_ERRORS:
-            return None
-        finally:
-            channel.close()
+        A deputy knows the upstreams of the owner, and asks no store for them.
+        """
+        if not self.is_deputy(state):
+            listed = await self.upstream_list.read()
+            if isinstance(listed, Unavailable):
+                return False
+            state.listed = listed
+        return await self.questions.reaches(state.name, state.listed)
 
-    async def reaches(self, cell) -> bool:
-        """Whether an upstream of a cell answers this daemon."""
-        listed = await self.upstream_list.read()
-        if isinstance(listed, Unavailable):
-            return False
-        self.cells[cell].listed = listed
-        members = [u for u in listed if u.availability_zone == cell]
-        if not members:
-            # Nothing can be gained, and entries may have expired behind a cut.
+    async def claim(self, state: CellState, row: CellRow | None, version) -> bool:
+        """Make this daemon the owner of a cell if nobody else has become it."""
+        token = claim_token(row.token if row else 0)
+        result = await self.write_claim(state.name, token, version)
+        if isinstance(result, Committed):
+            self.own(state, token, taken_over=row is not None)
+            return True
+        self.log_line.info("claim failed", cell=state.name, result=repr(result))
+        if not isinstance(result, Unavailable) or not self.is_deputy(state):
             return False
-        probes = [
-            HoldOrder(u.name, u.address, 0, 0, None, 0, ASK_TIMEOUT_S)
-            for u in members[:: max(1, len(members) // PROBED_UPSTREAMS)]
-        ]
-        outcomes = await asyncio.gather(*(self.orders.hold(order) for order in probes))
-        return any(not isinstance(outcome, NoAnswer) for outcome in outcomes)
+        assert state.deputy is not None
+        self.log_line.info(
+            "takes over as deputy", cell=state.name, token=state.deputy.token
+        )
+        self.own(state, state.deputy.token, taken_over=True)
+        return True
 
-    async def owner_answers(self, cell, row: CellRow) -> bool:
-        """Whether the silent owner of a cell answers after all.
+    async def write_claim(self, cell, token, version):
+        """Write the row of a cell with this daemon as its owner.
 
-        It is asked last: a cut that has just healed lets the upstreams answer while
-        the earlier silence still counts.
+        A deputy does not wait for a store that has just failed.
         """
-        if row.vm == self.me.vm:
-            return False
-        owner = VmRow(
-            row.vm,
-            row.availability_zone,
-            row.host,
-            row.port,
-            row.link_port,
-            row.incarnation,
-        )
-        question = pb.OwnerQuestion(cell=cell, vm=row.vm)
-        answer = await self.ask(owner, question, OWNER_TIMEOUT_S)
-        return answer is not None and answer.hears
-
-    async def claim(self, state: CellState, row: CellRow | None, version) -> bool:
-        """Make this daemon the owner of a cell if nobody else has become it."""
-        token = (row.token if row else 0) + 1
+        if not self.table.reachable() and self.is_deputy(self.cells[cell]):
+            return Unavailable("the store was lost before", False)
         mine = CellRow(
             self.me.vm,
             self.me.availability_zone,
@@ -382,16 +384,11 @@
             token,
             self.me.cores,
         )
-        key = CELL_PREFIX + state.name
+        key = CELL_PREFIX + cell
         write = Transaction(
             (Condition(key, version),), (Write(key, msgspec.json.encode(mine)),)
         )
-        result = await self.table.transact(write, "claim")
-        if not isinstance(result, Committed):
-            self.log_line.info("claim failed", cell=state.name, result=repr(result))
-            return False
-        self.own(state, token, taken_over=row is not None)
-        return True
+        return await self.table.transact(write, "claim")
 
     def own(self, state: CellState, token, taken_over):
         """Start to own a cell."""
@@ -406,6 +403,7 @@
         )
         self.owned[state.name] = service
         state.silent_since = None
+        state.deputy = None
         self.metrics.count("takeovers", state.name)
         to_owner = LocalLink(lambda m: service.take(self.me.vm, m))
         to_entry = LocalLink(lambda m: self.entry_service.take(state.name, to_owner, m))
@@ -437,6 +435,7 @@
             return
         del self.owned[cell]
         self.cells[cell].silent_since = now()
+        self.cells[cell].deputy = service.deputy
         service.owner.deposed = True
         for link in service.local_links:
             link.open = False
@@ -465,18 +464,59 @@
                 if row is not None and row.token > service.owner.token:
                     self.log_line.info("superseded", cell=cell, owner=row.vm)
                     self.disown(service)
+                elif row is not None and row.token < service.owner.token:
+                    await self.claim_as_deputy(service)
+
+    async def claim_as_deputy(self, service: OwnerService):
+        """Claim a cell that was taken over without the store, once it answers."""
+        cell = service.owner.cell
+        if not self.table.reachable() or self.leaving:
+            return
+        row, version = self.cell_row(cell)
+        token = claim_token(row.token if row else 0)
+        result = await self.write_claim(cell, token, version)
+        self.log_line.info("deputy claims", cell=cell, result=repr(result))
+        if isinstance(result, Committed) and self.owned.get(cell) is service:
+            listed = tuple(u.listed for u in service.owner.upstreams.values())
+            self.disown(service)
+            self.cells[cell].listed = listed
+            self.own(self.cells[cell], token, taken_over=True)
+
+    @Service.task
+    async def name_deputies(self):
+        """Keep a deputy named for each owned cell."""
+        while not self.should_stop:
+            await asyncio.sleep(DEPUTY_CHECK_S)
+            vms = list(self.vms().values()) if self.owned else []
+            for service in list(self.owned.values()):
+                service.name_deputy(vms)
 
     async def hand_over(self):
         """Let other daemons take over the owned cells before this one stops."""
         self.leaving = True
-        for cell, service in list(self.owned.items()):
-            others = [vm for vm in self.vms().values() if vm.vm != self.me.vm]
-            others.sort(key=lambda vm: (vm.availability_zone != cell, vm.rank_key()))
-            for vm in others:
-                if await self.give(service, vm):
-                    self.log_line.info("handed over", cell=cell, to=vm.vm)
-                    self.disown(service)
-                    break
+        while self.owned:
+            for service in list(self.owned.values()):
+                await self.hand_over_cell(service)
+            if self.owned:
+                await asyncio.sleep(HANDOVER_RETRY_S)
+
+    async def hand_over_cell(self, service: OwnerService):
+        """Ask one daemon after the other to take over a cell; the deputy goes first."""
+        cell, deputy = service.owner.cell, service.deputy
+        others = [vm for vm in self.vms().values() if vm.vm != self.me.vm]
+        others.sort(
+            key=lambda vm: (
+                deputy is None or vm.incarnation != deputy.incarnation,
+                vm.availability_zone != cell,
+                vm.rank_key(),
+            )
+        )
+        for vm in others:
+            if self.owned.get(cell) is not service:
+                return
+            if await self.give(service, vm):
+                self.log_line.info("handed over", cell=cell, to=vm.vm)
+                self.disown(service)
 
     async def give(self, service: OwnerService, vm: VmRow) -> bool:
         """Ask one daemon to take over a cell."""
--- a/packages/daemon/carobramp_daemon/cells/frames.py
+++ b/packages/daemon/carobramp_daemon/cells/frames.py
@@ -4,6 +4,7 @@
 import functools
 from collections.abc import Callable
 
+from carobramp_core.cells.claims import Deputy
 from carobramp_core.cells.messages import (
     Cancel,
     Job,
@@ -107,6 +108,19 @@
     return pb.Frame(room=room)
 
 
+@encode.register
+def _(message: Deputy):
+    deputy = pb.Deputy(
+        vm=message.vm,
+        host=message.host,
+        link_port=message.link_port,
+        incarnation=message.incarnation,
+        token=message.token,
+        upstreams=map(encode_upstream, message.upstreams),
+    )
+    return pb.Frame(deputy=deputy)
+
+
 def decode_offer(offer: pb.Offer) -> Offer:
     """Return the offer of a frame."""
     job = Job(**{name: getattr(offer, name) for name in JOB_FIELDS})
@@ -159,6 +173,18 @@
     return ListedUpstream(**fields)
 
 
+def decode_deputy(deputy: pb.Deputy) -> Deputy:
+    """Return the message of a frame."""
+    return Deputy(
+        deputy.vm,
+        deputy.host,
+        deputy.link_port,
+        deputy.incarnation,
+        deputy.token,
+        tuple(map(decode_upstream, deputy.upstreams)),
+    )
+
+
 DECODERS: dict[str, Callable] = {
     "offer": decode_offer,
     "cancel": lambda cancel: Cancel(cancel.job_id),
@@ -166,6 +192,7 @@
     "started": lambda started: Started(started.job_id, tuple(started.indexes)),
     "task_ended": decode_ended,
     "room": decode_room,
+    "deputy": decode_deputy,
     "members": lambda members: Members(tuple(members.names)),
 }
 
--- a/packages/daemon/carobramp_daemon/cells/links.py
+++ b/packages/daemon/carobramp_daemon/cells/links.py
@@ -22,6 +22,7 @@
 
 from google.protobuf.message import DecodeError
 
+from carobramp_core.cells.claims import Deputy
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import Room
 from carobramp_daemon.cells import frames
@@ -159,14 +160,21 @@
 
 
 class RemoteLink:
-    """Link from this entry to an owner in another process."""
+    """Link from this entry to an owner in another process.
 
-    def __init__(self, cell, vm, address, entry_service, limits: CellLimits):
+    Parameters
+    ==========
+
+    on_deputy : called with the deputy that the owner has named
+    """
+
+    def __init__(self, cell, vm, address, entry_service, limits: CellLimits, on_deputy):
         self.cell = cell
         self.vm = vm
         self.address = address
         self.entry_service = entry_service
         self.limits = limits
+        self.on_deputy = on_deputy
         self.link: FrameLink | None = None
         self.found = False
         self.closed = asyncio.get_running_loop().create_future()
@@ -213,7 +221,9 @@
         if not self.found and isinstance(message, Room):
             self.found = True
             self.entry_service.owner_found(self.cell, message.token, link)
-        if message is not None:
+        if isinstance(message, Deputy):
+            self.on_deputy(message)
+        elif message is not None:
             self.entry_service.take(self.cell, link, message)
 
     def on_closed(self, link: FrameLink, reason):
--- a/packages/daemon/carobramp_daemon/cells/owner.py
+++ b/packages/daemon/carobramp_daemon/cells/owner.py
@@ -1,9 +1,12 @@
 """Service that owns one cell: holds its upstreams and carries out the orders."""
 
 import asyncio
+import dataclasses
+from typing import TypeGuard
 
 from mode import Service
 
+from carobramp_core.cells.claims import Deputy, choose_deputy, deputy_token
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.orders import (
     Deposed,
@@ -67,6 +70,9 @@
         self.metrics = metrics
         self.log_line = log
         self.links: dict[str, Link] = {}
+        self.deputy: Deputy | None = None
+        # Newest token that this owner has given to a deputy, or its own.
+        self.given_token = owner.token
         # Both directions of the link to the entry of this process.
         self.local_links: tuple = ()
         self.holders: dict[str, asyncio.Task] = {}
@@ -82,6 +88,39 @@
         self.links[entry] = link
         link.send(self.owner.room(now()))
         link.send(self.owner.members())
+        self.send_deputy(entry, link)
+
+    def name_deputy(self, vms):
+        """Name a deputy among the daemons with a live link, if that has changed."""
+        linked = {vm_of(e) for e, link in self.links.items() if is_remote(link)}
+        candidates = {vm.vm: vm for vm in vms if vm.vm in linked}
+        present = self.deputy.vm if self.deputy else None
+        chosen = choose_deputy(self.owner.cell, candidates.values(), present)
+        if chosen is None or self.owner.deposed:
+            return
+        vm = candidates[chosen]
+        if self.deputy and self.deputy.incarnation == vm.incarnation:
+            return
+        token = deputy_token(self.owner.token, self.given_token)
+        if token is None:
+            return
+        self.given_token = token
+        self.deputy = Deputy(vm.vm, vm.host, vm.link_port, vm.incarnation, token)
+        self.log_line.info(
+            "names a deputy", cell=self.owner.cell, deputy=vm.vm, token=token
+        )
+        for entry, link in list(self.links.items()):
+            self.send_deputy(entry, link)
+
+    def send_deputy(self, entry, link):
+        """Tell an entry who the deputy is, and the deputy which upstreams there are."""
+        if self.deputy is None or not is_remote(link):
+            return
+        deputy = self.deputy
+        if vm_of(entry) == deputy.vm:
+            listed = tuple(u.listed for u in self.owner.upstreams.values())
+            deputy = dataclasses.replace(deputy, upstreams=listed)
+        link.send(deputy)
 
     def disconnect(self, entry):
         """Forget a link that is closed."""
@@ -135,10 +174,13 @@
         cell = self.owner.cell
         own = tuple(u for u in upstreams if u.availability_zone == cell)
         known = self.owner.members()
+        former = [u.listed for u in self.owner.upstreams.values()]
         self.dispatch(Listed(own))
         self.start_holders()
         if self.owner.members() != known:
             self.send_members()
+        if [u.listed for u in self.owner.upstreams.values()] != former:
+            self.update_deputy()
 
     async def on_start(self):
         """Tell that the cell is owned."""
@@ -159,6 +201,12 @@
                 self.list_upstreams(listed)
             await self.sleep(LIST_INTERVAL_S)
 
+    def update_deputy(self):
+        """Tell the deputy which upstreams there are now."""
+        for entry, link in list(self.links.items()):
+            if self.deputy and vm_of(entry) == self.deputy.vm:
+                self.send_deputy(entry, link)
+
     def send_members(self):
         """Tell the entries which upstreams the cell has."""
         for link in list(self.links.values()):
@@ -205,7 +253,17 @@
             room = self.owner.room(now())
             data = frames.encode(room).SerializeToString()
             for link in list(self.links.values()):
-                if isinstance(link, FrameLink):
+                if is_remote(link):
                     link.write(data)
                 else:
                     link.send(room)
+
+
+def is_remote(link) -> TypeGuard[FrameLink]:
+    """Whether a link leads to another process."""
+    return isinstance(link, FrameLink)
+
+
+def vm_of(entry) -> str:
+    """Return the VM of an entry from the name of its link."""
+    return entry.partition("/")[0]
