Run tasks elsewhere that stand still; split the fleet service

Cause: tasks of some upstreams stand still while their health is good (srv_grey, hang). Only ends counted against an upstream, so that such a task kept its room and its job until three objectives had passed, and the next task went there too.

Ruled out: a second run beside the first (two runs of a task at one time); a limit on the run time alone (slow upstreams take eight times as long and do finish).

Change: a run whose listed percentage has not grown for 1.5 times its expected run time (0.1 to 0.25 s, a quarter of long run times) is stopped, its upstream quarantined, and its task waits again once the end is listed. The fleet service is split: rows, calls of other daemons and handing over are modules of their own.

Conclusion: callers get their answer late instead of none.

--- a/packages/core/carobramp_core/cells/events.py
+++ b/packages/core/carobramp_core/cells/events.py
@@ -173,7 +173,7 @@
 
 def adopt(entry, upstream: Upstream, owner, now, effects):
     """Keep a run of an earlier owner until an entry claims it."""
-    run = Run(entry.run_id, upstream.name, None, None, started_at=now)
+    run = Run(entry.run_id, upstream.name, None, None, started_at=now, progress_at=now)
     run.phase = RunPhase.RUNNING
     upstream.add(run)
     if (run.run_id.job_id, run.run_id.index) in owner.runs:
@@ -185,7 +185,7 @@
 def compare(run: Run, listed, owner, asked_at, now, effects):
     """Compare a run with a listing that was asked for at `asked_at`."""
     if listed is not None:
-        run.percent = listed.percent
+        run.progressed(listed.percent, now)
         if run.phase in (RunPhase.STARTING, RunPhase.UNKNOWN):
             run.phase = RunPhase.RUNNING
             run.settled_at = now
@@ -194,6 +194,8 @@
             overdue = now - run.stop_sent_at > owner.limits.order_timeout_s
             if overdue:
                 owner.stop(run, now, effects)
+        elif run.job is not None and run.stalled(now):
+            restart(run, owner, now, effects)
         return
     if asked_at < min(run.settled_at, run.started_at + owner.limits.lapse_s()):
         unsettled = run.phase in (RunPhase.UNKNOWN, RunPhase.STOPPING)
@@ -203,6 +205,24 @@
     owner.finish(run, TaskResult.LOST, now, effects)
 
 
+def restart(run: Run, owner, now, effects):
+    """Stop a run that stands still; its task waits again once it is over."""
+    upstream = owner.upstreams[run.upstream]
+    if now >= upstream.blocked_until:
+        upstream.quarantine(now)
+    note = {
+        "upstream": upstream.name,
+        "job_id": run.run_id.job_id,
+        "index": run.run_id.index,
+        "percent": run.percent,
+        "still_ms": round((now - run.progress_at) * MS),
+        "quarantine_s": upstream.quarantine_s,
+    }
+    effects.append(Note("run stands still", note))
+    run.requeue = run.entry is not None
+    owner.stop(run, now, effects)
+
+
 @on_hold.register
 def _(outcome: NoAnswer, upstream: Upstream, owner, event, now, effects):
     if not upstream.suspect and event.order.deadline_ms is not None:
--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -165,6 +165,7 @@
             started_at=now,
             expected_s=task.expected_s,
             received_at=task.received_at,
+            progress_at=now,
         )
         upstream.add(run)
         self.track(run)
--- a/packages/core/carobramp_core/cells/tests/test_owner.py
+++ b/packages/core/carobramp_core/cells/tests/test_owner.py
@@ -32,6 +32,7 @@
     stops,
     upstream,
 )
+from carobramp_core.cells.upstreams import STALL_MIN_S
 
 
 class UnknownFateTests(unittest.TestCase):
@@ -363,3 +364,38 @@
         (order,) = starts(bench.offer(job()))
         effects = bench.answer_hold(running=[running(order)])
         self.assertEqual((starts(effects), stops(effects)), ([], []))
+
+    def test_run_that_stands_still_runs_elsewhere(self):
+        """Guards against jobs that end only with their caller's patience.
+
+        Tasks of some upstreams stand still while their health probes are good; each
+        such task kept its room and its job until three objectives had passed.
+        """
+        bench = OwnerBench(upstream(), upstream("i-2"))
+        for name in ("i-1", "i-2"):
+            bench.answer_hold(name)
+        (order,) = starts(bench.offer(job()))
+        bench.accept(order)
+        name = order.upstream
+        still = running(order, 0)
+        bench.now += STALL_MIN_S
+        self.assertEqual(stops(bench.answer_hold(name, [still])), [])
+        bench.now += 0.1
+        (stop,) = stops(bench.answer_hold(name, [still]))
+        bench.accept_stop(stop)
+        bench.now += 0.05
+        stopped = ended(order, EndKind.STOPPED)
+        (again,) = starts(bench.answer_hold(name, ended=[stopped]))
+        self.assertNotEqual(again.upstream, name)
+        self.assertGreater(bench.owner.upstreams[name].blocked_until, bench.now)
+
+    def test_slow_run_goes_on(self):
+        """Guards against work thrown away because an upstream is slow."""
+        bench = OwnerBench(upstream())
+        bench.answer_hold()
+        (order,) = starts(bench.offer(job(estimate_ms=900.0)))
+        bench.accept(order)
+        for percent in range(1, 60):
+            bench.now += 0.1
+            effects = bench.answer_hold(running=[running(order, percent)])
+            self.assertEqual(stops(effects), [])
--- a/packages/core/carobramp_core/cells/upstreams.py
+++ b/packages/core/carobramp_core/cells/upstreams.py
@@ -18,6 +18,14 @@
 SPEED_MIN = 0.1
 SPEED_MAX = 4.0
 ROOM_BACKOFF_S = 0.05
+# A run that shows no progress for 1.5 times its expected run time stands still, but
+# not before the first listing, which comes after 0.1 s, and after 0.25 s at the
+# latest. Listings name whole percents: a quarter of the expected run time lets a run
+# that takes 25 times as long show progress.
+STALL_MIN_S = 0.1
+STALL_MAX_S = 0.25
+STALL_FACTOR = 1.5
+STALL_PART = 0.25
 
 
 class RunPhase:
@@ -40,6 +48,8 @@
     entry : entry that waits for the end; None when nobody does
     requeue : whether the task waits again once the run has ended without a result
     settled_at : time after which a listing without the run shows that it is over
+    percent : part of its work that is done, as last listed
+    progress_at : time at which that part last grew, or of the start
     """
 
     run_id: RunId
@@ -54,6 +64,19 @@
     stop_sent_at: float = -math.inf
     received_at: float = 0.0
     percent: float = 0.0
+    progress_at: float = math.inf
+
+    def progressed(self, percent, now):
+        """Note the part of the work that is done."""
+        if percent > self.percent:
+            self.percent = percent
+            self.progress_at = now
+
+    def stalled(self, now) -> bool:
+        """Whether the run stands still, by its listings."""
+        usual_s = min(STALL_MAX_S, STALL_FACTOR * self.expected_s)
+        limit_s = max(STALL_MIN_S, usual_s, STALL_PART * self.expected_s)
+        return now - self.progress_at > limit_s
 
 
 class Upstream:
@@ -182,12 +205,16 @@
         self.failed_jobs.add(job_id)
         if len(self.failed_jobs) < FAILURES_TO_QUARANTINE and not self.probing:
             return False
+        self.quarantine(now)
+        return True
+
+    def quarantine(self, now):
+        """Give the upstream nothing for a while, then one task."""
         doubled = max(QUARANTINE_MIN_S, 2 * self.quarantine_s)
         self.quarantine_s = min(QUARANTINE_MAX_S, doubled)
         self.blocked_until = now + self.quarantine_s
         self.failed_jobs.clear()
         self.probing = True
-        return True
 
     def no_room(self, now):
         """Note that the upstream refused a run for want of room."""
--- /dev/null
+++ b/packages/daemon/carobramp_daemon/cells/calls.py
@@ -0,0 +1,46 @@
+"""Calls of other daemons about the owners of cells."""
+
+from carobramp_daemon.cells.clock import now
+from carobramp_daemon.cells.frames import decode_upstream
+from carobramp_schema.generated import cells_grpc
+from carobramp_schema.generated import cells_pb2 as pb
+
+# A link is heard when its last message is this recent.
+HEARD_S = 0.25
+
+
+class CellCalls(cells_grpc.CellsBase):
+    """Answers the calls of other daemons for the fleet service of this one."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+
+    async def HearsOwner(self, stream):
+        """Tell whether this daemon hears the owner of a cell."""
+        question = await stream.recv_message()
+        fleet = self.fleet
+        state = fleet.cells.get(question.cell)
+        hears = question.cell in fleet.owned
+        if state is not None and state.link is not None:
+            recent = now() - state.link.heard_at < HEARD_S
+            hears = hears or recent and state.name in fleet.entry_service.links
+        candidate = (
+            fleet.me.availability_zone == question.cell
+            and not fleet.leaving
+            and question.vm != fleet.me.vm
+        )
+        answer = pb.OwnerAnswer(hears=hears, vm=fleet.me.vm, candidate=candidate)
+        await stream.send_message(answer)
+
+    async def TakeCell(self, stream):
+        """Take over a cell from an owner that is about to stop."""
+        request = await stream.recv_message()
+        fleet = self.fleet
+        state = fleet.cells.get(request.cell)
+        taken = False
+        if state is not None and not fleet.leaving and fleet.table.loaded():
+            row, version = fleet.rows.cell(request.cell)
+            if row is not None and row.vm == request.vm:
+                state.listed = tuple(map(decode_upstream, request.upstreams))
+                taken = await fleet.claim(state, row, version)
+        await stream.send_message(pb.TakeOverReply(taken=taken))
--- a/packages/daemon/carobramp_daemon/cells/fleet.py
+++ b/packages/daemon/carobramp_daemon/cells/fleet.py
@@ -4,8 +4,6 @@
 import contextlib
 import dataclasses
 
-import msgspec
-from grpclib.client import Channel
 from grpclib.server import Server
 from mode import Service
 
@@ -22,24 +20,15 @@
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.owner import CellOwner
 from carobramp_core.cells.ports import FleetTable, UpstreamList, UpstreamOrders
-from carobramp_core.platform import (
-    Committed,
-    Condition,
-    Row,
-    Transaction,
-    Unavailable,
-    Write,
-)
+from carobramp_core.platform import Committed, Unavailable
+from carobramp_daemon.cells.calls import CellCalls
 from carobramp_daemon.cells.clock import now
 from carobramp_daemon.cells.entry import EntryService
-from carobramp_daemon.cells.frames import decode_upstream, encode_upstream
 from carobramp_daemon.cells.links import EntryLinks, LocalLink, RemoteLink
 from carobramp_daemon.cells.owner import OwnerService
-from carobramp_daemon.cells.questions import CALL_ERRORS, Questions
-from carobramp_daemon.cells.rows import CELL_PREFIX, VM_PREFIX, CellRow, VmRow
+from carobramp_daemon.cells.questions import Questions
+from carobramp_daemon.cells.rows import CellRow, FleetRows, VmRow
 from carobramp_daemon.cells.tasks import spawn
-from carobramp_schema.generated import cells_grpc
-from carobramp_schema.generated import cells_pb2 as pb
 
 # An owner with less than this part of a candidate's cores gives its cell to it.
 OWNER_SIZE_PART = 0.6
@@ -48,16 +37,11 @@
 FAST_RETRY_S = 0.02
 FAST_RETRIES = 5
 ANNOUNCE_RETRY_S = 0.5
-HANDOVER_S = 1.0
-# Time between the attempts of a leaving daemon to hand its cells over.
-HANDOVER_RETRY_S = 0.2
 # Time between looks at whether an owner's deputy is still linked.
 DEPUTY_CHECK_S = 0.2
 # While an owner is silent, one of so many attempts to link goes to it and the others to
 # its deputy, which answers at once.
 OWNER_TRY_EVERY = 4
-# A link is heard when its last message is this recent.
-HEARD_S = 0.25
 
 
 @dataclasses.dataclass
@@ -80,7 +64,7 @@
     deputy: Deputy | None = None
 
 
-class FleetService(Service, cells_grpc.CellsBase):
+class FleetService(Service):
     """Keeps a link to the owner of each cell, and takes over cells without one."""
 
     def __init__(
@@ -98,6 +82,7 @@
         super().__init__()
         self.me = me
         self.table = table
+        self.rows = FleetRows(table, me, metrics, new_log("fleet"))
         self.upstream_list = upstream_list
         self.orders = orders
         self.questions = Questions(me, orders)
@@ -110,7 +95,7 @@
         self.started_at = now()
         self.cells = {zone: CellState(zone, self.started_at) for zone in zones}
         self.owned: dict[str, OwnerService] = {}
-        self.server = Server([self])
+        self.server = Server([CellCalls(self)])
         self.entry_links = EntryLinks(self.owned, limits)
 
     async def on_start(self):
@@ -123,42 +108,11 @@
         self.server.close()
         self.entry_links.stop()
 
-    # Rows
-
-    def cell_row(self, cell) -> tuple[CellRow | None, int]:
-        """Return the row of a cell and its version."""
-        row = self.table.rows().get(CELL_PREFIX + cell)
-        if row is None:
-            return None, 0
-        return self.decode(row, CellRow), row.version
-
-    def vms(self) -> dict[str, VmRow]:
-        """Return the daemons that have announced themselves."""
-        rows = self.table.rows()
-        decoded = [
-            self.decode(row, VmRow)
-            for key, row in rows.items()
-            if key.startswith(VM_PREFIX)
-        ]
-        return {row.vm: row for row in decoded if row is not None}
-
-    def decode(self, row: Row, kind):
-        """Return the content of a row, or None if it is not usable."""
-        try:
-            return msgspec.json.decode(row.value, type=kind)
-        except msgspec.DecodeError as error:
-            self.metrics.count("platform_invalid", "fleet")
-            self.log_line.info("row not usable", key=row.key, detail=str(error))
-            return None
-
     @Service.task
     async def announce(self):
         """Write the row of this daemon."""
-        key = VM_PREFIX + self.me.vm
-        value = msgspec.json.encode(self.me)
         while not self.should_stop:
-            write = Transaction((), (Write(key, value),))
-            result = await self.table.transact(write, "announce")
+            result = await self.rows.announce()
             if isinstance(result, Committed):
                 return
             self.log_line.info("announcement failed", result=repr(result))
@@ -179,7 +133,7 @@
             if state.name in self.owned:
                 await asyncio.sleep(RETRY_S)
                 continue
-            row, _ = self.cell_row(state.name)
+            row, _ = self.rows.cell(state.name)
             if row is not None and row.token != token:
                 token, tries = row.token, 0
             target = self.link_target(state, row, tries)
@@ -213,7 +167,7 @@
 
     def valid_deputy(self, state: CellState) -> Deputy | None:
         """Return the deputy of a cell, unless the cell was claimed since."""
-        row, _ = self.cell_row(state.name)
+        row, _ = self.rows.cell(state.name)
         if state.deputy is None or row is None:
             return None
         same = state.deputy.token // TOKEN_BLOCK == row.token // TOKEN_BLOCK
@@ -252,7 +206,7 @@
                 heard = link.cell in self.entry_service.links
                 if heard:
                     state.silent_since = None
-                present, _ = self.cell_row(state.name)
+                present, _ = self.rows.cell(state.name)
                 if present is not None and present.token > target.token:
                     break
                 if heard and self.should_return(state, target):
@@ -297,7 +251,7 @@
         """Ask others about the owner of a cell and take it over if it is gone."""
         if self.leaving or state.name in self.owned or not self.table.loaded():
             return
-        row, version = self.cell_row(state.name)
+        row, version = self.rows.cell(state.name)
         heard = state.silent_since is None
         silent_s = 0.0 if heard else now() - (state.silent_since or 0.0)
         view = ClaimView(
@@ -313,7 +267,7 @@
         if not heard and silent_s < claim_delay_s(view):
             return
         view, reached = await asyncio.gather(
-            self.questions.survey(state.name, row, self.vms().values(), view),
+            self.questions.survey(state.name, row, self.rows.vms().values(), view),
             self.reaches(state),
         )
         wanted = decide_return(view) if heard else decide_claim(view)
@@ -353,7 +307,7 @@
     async def claim(self, state: CellState, row: CellRow | None, version) -> bool:
         """Make this daemon the owner of a cell if nobody else has become it."""
         token = claim_token(row.token if row else 0)
-        result = await self.write_claim(state.name, token, version)
+        result = await self.write_claim(state, token, version)
         if isinstance(result, Committed):
             self.own(state, token, taken_over=row is not None)
             return True
@@ -367,28 +321,14 @@
         self.own(state, state.deputy.token, taken_over=True)
         return True
 
-    async def write_claim(self, cell, token, version):
+    async def write_claim(self, state: CellState, token, version):
         """Write the row of a cell with this daemon as its owner.
 
         A deputy does not wait for a store that has just failed.
         """
-        if not self.table.reachable() and self.is_deputy(self.cells[cell]):
+        if not self.table.reachable() and self.is_deputy(state):
             return Unavailable("the store was lost before", False)
-        mine = CellRow(
-            self.me.vm,
-            self.me.availability_zone,
-            self.me.host,
-            self.me.port,
-            self.me.link_port,
-            self.me.incarnation,
-            token,
-            self.me.cores,
-        )
-        key = CELL_PREFIX + cell
-        write = Transaction(
-            (Condition(key, version),), (Write(key, msgspec.json.encode(mine)),)
-        )
-        return await self.table.transact(write, "claim")
+        return await self.rows.claim(state.name, token, version)
 
     def own(self, state: CellState, token, taken_over):
         """Start to own a cell."""
@@ -460,7 +400,7 @@
         while not self.should_stop:
             await self.pause()
             for cell, service in list(self.owned.items()):
-                row, _ = self.cell_row(cell)
+                row, _ = self.rows.cell(cell)
                 if row is not None and row.token > service.owner.token:
                     self.log_line.info("superseded", cell=cell, owner=row.vm)
                     self.disown(service)
@@ -472,9 +412,9 @@
         cell = service.owner.cell
         if not self.table.reachable() or self.leaving:
             return
-        row, version = self.cell_row(cell)
+        row, version = self.rows.cell(cell)
         token = claim_token(row.token if row else 0)
-        result = await self.write_claim(cell, token, version)
+        result = await self.write_claim(self.cells[cell], token, version)
         self.log_line.info("deputy claims", cell=cell, result=repr(result))
         if isinstance(result, Committed) and self.owned.get(cell) is service:
             listed = tuple(u.listed for u in service.owner.upstreams.values())
@@ -487,81 +427,6 @@
         """Keep a deputy named for each owned cell."""
         while not self.should_stop:
             await asyncio.sleep(DEPUTY_CHECK_S)
-            vms = list(self.vms().values()) if self.owned else []
+            vms = list(self.rows.vms().values()) if self.owned else []
             for service in list(self.owned.values()):
                 service.name_deputy(vms)
-
-    async def hand_over(self):
-        """Let other daemons take over the owned cells before this one stops."""
-        self.leaving = True
-        while self.owned:
-            for service in list(self.owned.values()):
-                await self.hand_over_cell(service)
-            if self.owned:
-                await asyncio.sleep(HANDOVER_RETRY_S)
-
-    async def hand_over_cell(self, service: OwnerService):
-        """Ask one daemon after the other to take over a cell; the deputy goes first."""
-        cell, deputy = service.owner.cell, service.deputy
-        others = [vm for vm in self.vms().values() if vm.vm != self.me.vm]
-        others.sort(
-            key=lambda vm: (
-                deputy is None or vm.incarnation != deputy.incarnation,
-                vm.availability_zone != cell,
-                vm.rank_key(),
-            )
-        )
-        for vm in others:
-            if self.owned.get(cell) is not service:
-                return
-            if await self.give(service, vm):
-                self.log_line.info("handed over", cell=cell, to=vm.vm)
-                self.disown(service)
-
-    async def give(self, service: OwnerService, vm: VmRow) -> bool:
-        """Ask one daemon to take over a cell."""
-        channel = Channel(vm.host, vm.port)
-        try:
-            async with asyncio.timeout(HANDOVER_S):
-                listed = [u.listed for u in service.owner.upstreams.values()]
-                request = pb.TakeOver(
-                    cell=service.owner.cell,
-                    vm=self.me.vm,
-                    upstreams=map(encode_upstream, listed),
-                )
-                reply = await cells_grpc.CellsStub(channel).TakeCell(request)
-            return reply.taken
-        except CALL_ERRORS:
-            return False
-        finally:
-            channel.close()
-
-    # Calls of other daemons
-
-    async def HearsOwner(self, stream):
-        """Tell whether this daemon hears the owner of a cell."""
-        question = await stream.recv_message()
-        state = self.cells.get(question.cell)
-        hears = question.cell in self.owned
-        if state is not None and state.link is not None:
-            recent = now() - state.link.heard_at < HEARD_S
-            hears = hears or recent and state.name in self.entry_service.links
-        candidate = (
-            self.me.availability_zone == question.cell
-            and not self.leaving
-            and question.vm != self.me.vm
-        )
-        answer = pb.OwnerAnswer(hears=hears, vm=self.me.vm, candidate=candidate)
-        await stream.send_message(answer)
-
-    async def TakeCell(self, stream):
-        """Take over a cell from an owner that is about to stop."""
-        request = await stream.recv_message()
-        state = self.cells.get(request.cell)
-        taken = False
-        if state is not None and not self.leaving and self.table.loaded():
-            row, version = self.cell_row(request.cell)
-            if row is not None and row.vm == request.vm:
-                state.listed = tuple(map(decode_upstream, request.upstreams))
-                taken = await self.claim(state, row, version)
-        await stream.send_message(pb.TakeOverReply(taken=taken))
--- a/packages/daemon/carobramp_daemon/cells/questions.py
+++ b/packages/daemon/carobramp_daemon/cells/questions.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 import grpclib.exceptions
+import h2.exceptions
 from google.protobuf.message import DecodeError
 from grpclib.client import Channel
 
@@ -21,6 +22,7 @@
     grpclib.exceptions.GRPCError,
     grpclib.exceptions.StreamTerminatedError,
     grpclib.exceptions.ProtocolError,
+    h2.exceptions.H2Error,
     DecodeError,
     AssertionError,
 )
--- a/packages/daemon/carobramp_daemon/cells/rows.py
+++ b/packages/daemon/carobramp_daemon/cells/rows.py
@@ -2,6 +2,9 @@
 
 import msgspec
 
+from carobramp_core.cells.ports import FleetTable
+from carobramp_core.platform import Condition, Row, Transaction, Write
+
 CELL_PREFIX = "cell/"
 VM_PREFIX = "vm/"
 
@@ -33,3 +36,69 @@
     incarnation: str
     token: int
     cores: float = 1.0
+
+
+class FleetRows:
+    """Reads and writes rows of the table of daemons and cells.
+
+    Parameters
+    ==========
+
+    me : row of this daemon
+    """
+
+    def __init__(self, table: FleetTable, me: VmRow, metrics, log):
+        self.table = table
+        self.me = me
+        self.metrics = metrics
+        self.log_line = log
+
+    def cell(self, cell) -> tuple[CellRow | None, int]:
+        """Return the row of a cell and its version."""
+        row = self.table.rows().get(CELL_PREFIX + cell)
+        if row is None:
+            return None, 0
+        return self.decode(row, CellRow), row.version
+
+    def vms(self) -> dict[str, VmRow]:
+        """Return the daemons that have announced themselves."""
+        rows = self.table.rows()
+        decoded = [
+            self.decode(row, VmRow)
+            for key, row in rows.items()
+            if key.startswith(VM_PREFIX)
+        ]
+        return {row.vm: row for row in decoded if row is not None}
+
+    def decode(self, row: Row, kind):
+        """Return the content of a row, or None if it is not usable."""
+        try:
+            return msgspec.json.decode(row.value, type=kind)
+        except msgspec.DecodeError as error:
+            self.metrics.count("platform_invalid", "fleet")
+            self.log_line.info("row not usable", key=row.key, detail=str(error))
+            return None
+
+    async def announce(self):
+        """Write the row of this daemon."""
+        key = VM_PREFIX + self.me.vm
+        write = Transaction((), (Write(key, msgspec.json.encode(self.me)),))
+        return await self.table.transact(write, "announce")
+
+    async def claim(self, cell, token, version):
+        """Write the row of a cell with this daemon as its owner."""
+        mine = CellRow(
+            self.me.vm,
+            self.me.availability_zone,
+            self.me.host,
+            self.me.port,
+            self.me.link_port,
+            self.me.incarnation,
+            token,
+            self.me.cores,
+        )
+        key = CELL_PREFIX + cell
+        write = Transaction(
+            (Condition(key, version),), (Write(key, msgspec.json.encode(mine)),)
+        )
+        return await self.table.transact(write, "claim")
--- a/packages/testing/carobramp_testing/standins/leased/worker.py
+++ b/packages/testing/carobramp_testing/standins/leased/worker.py
@@ -22,6 +22,14 @@
     started_at: float
     ended_at: float | None = None
     how: str = ""
+    seconds: float = 0.0
+
+    def percent(self):
+        """Return the part of the work that is done; none of a run that hangs."""
+        if not self.seconds:
+            return 0
+        done = (time.monotonic() - self.started_at) / self.seconds
+        return min(99, int(100 * done))
 
 
 @dataclasses.dataclass
@@ -199,7 +207,10 @@
         """Let a run end in time, as the faults allow."""
         how = "failed" if self.faults.fail else "done"
         delay = 0.0 if self.faults.fail else seconds
-        delay = 3600.0 if self.faults.hang else delay
+        if self.faults.hang:
+            delay = 3600.0
+        else:
+            self.running[task].seconds = seconds
         loop = asyncio.get_running_loop()
         self.timers[task] = loop.call_later(delay, self.end, task, how)
 
@@ -230,7 +241,9 @@
                     await self.ended.wait()
             except TimeoutError:
                 pass
-        running = [[run.task, run.number, "", 50] for run in self.running.values()]
+        running = [
+            [run.task, run.number, "", run.percent()] for run in self.running.values()
+        ]
         answer = {
             "clock_ms": self.clock_ms(),
             "running": running,
