Fence the lives of an upstream off from each other

Cause: the new specification of cells broke "no two runs of a task at one time" with two faults: an order that is carried out late, and a restart of its upstream under the same id. The clock of the new life starts anew, so that the deadline of the late start lies in its future; it ran there while the owner had long started the task elsewhere.

Ruled out: the instance in the order (it is the id, which stays); the deadline (it is a time on the clock of the earlier life).

Change: an owner sends its token times 1024 plus the number of lives of the upstream that it has seen, so that the first order to a new life refuses what was meant for an earlier one. Runs of the earlier life are over once a listing under the new fence lacks them, 3 ms later than before. An order that the owner itself has fenced off does not depose it.

The specification (models/cells.py) plays every series of up to two faults of 13 kinds at four steps with the pure decisions of owners and entries.

--- a/packages/core/carobramp_core/cells/events.py
+++ b/packages/core/carobramp_core/cells/events.py
@@ -119,9 +119,15 @@
         effects.append(Note("upstream answers", note))
     upstream.answered = True
     upstream.suspect = False
+    if not upstream.born_ms:
+        upstream.born_ms = outcome.born_ms
     if outcome.born_ms != upstream.born_ms:
-        for run in upstream.reborn(outcome.born_ms):
-            owner.finish(run, TaskResult.LOST, now, effects)
+        note = {"upstream": upstream.name, "born_ms": outcome.born_ms}
+        effects.append(Note("upstream lives again", {**note, "lives": upstream.lives}))
+        upstream.reborn(outcome.born_ms, now)
+        if upstream.runs:
+            owner.list_runs(upstream, effects)
+            return
     for end in outcome.ended:
         take_end(end, upstream, owner, now, effects)
     if outcome.clock_ms <= upstream.listing_ms:
@@ -234,16 +240,19 @@
 @on_hold.register
 def _(outcome: Rejected, upstream: Upstream, owner, event, now, effects):
     if outcome.refusal == Refusal.FENCED:
-        depose(owner, upstream, effects)
+        take_fence(event.order, owner, upstream, effects)
         return
     upstream.suspect = True
     note = {"upstream": upstream.name, "refusal": outcome.refusal}
     effects.append(Note("upstream refuses to be held", note))
 
 
-def depose(owner, upstream, effects):
-    """Give the cell up: an upstream has seen a higher token."""
-    if not owner.deposed:
+def take_fence(order, owner, upstream, effects):
+    """Give the cell up if an upstream has seen the token of another owner.
+
+    An order for an earlier life of the upstream is fenced off by this owner itself.
+    """
+    if order.token == upstream.fence(owner.token) and not owner.deposed:
         owner.deposed = True
         effects.append(Deposed(upstream.name))
 
@@ -254,9 +263,16 @@
     run = upstream.runs.get(event.order.run_id) if upstream else None
     if run is None or run.phase == RunPhase.RUNNING:
         return
+    if is_fenced(event.outcome):
+        take_fence(event.order, owner, upstream, effects)
     on_start(event.outcome, run, upstream, owner, now, effects)
 
 
+def is_fenced(outcome) -> bool:
+    """Whether an order was refused for its token."""
+    return isinstance(outcome, Rejected) and outcome.refusal == Refusal.FENCED
+
+
 @functools.singledispatch
 def on_start(outcome, run, upstream, owner, now, effects):
     """Take the outcome of a start order."""
@@ -272,8 +288,7 @@
 
 @on_start.register
 def _(outcome: Rejected, run: Run, upstream, owner, now, effects):
-    if outcome.refusal == Refusal.FENCED:
-        depose(owner, upstream, effects)
+    if owner.deposed:
         return
     if outcome.refusal in BACKOFF_REFUSALS:
         upstream.no_room(now)
@@ -320,8 +335,8 @@
             # No end is listed of a run that was never there.
             owner.list_runs(upstream, effects)
     elif isinstance(event.outcome, Rejected):
-        if event.outcome.refusal == Refusal.FENCED:
-            depose(owner, upstream, effects)
+        if is_fenced(event.outcome):
+            take_fence(event.order, owner, upstream, effects)
     elif now - event.sent_at >= owner.limits.order_timeout_s and not upstream.suspect:
         # The order may be lost or late; its run would go on with the renewed lease.
         owner.stop(run, now, effects)
--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -120,7 +120,7 @@
         return HoldOrder(
             upstream=upstream.name,
             address=upstream.listed.address,
-            token=self.token,
+            token=upstream.fence(self.token),
             acknowledged=upstream.acknowledged,
             deadline_ms=deadline_ms,
             wait_ms=int(wait_s * MS),
@@ -175,7 +175,7 @@
             StartOrder(
                 upstream=upstream.name,
                 address=upstream.listed.address,
-                token=self.token,
+                token=upstream.fence(self.token),
                 run_id=run_id,
                 spec=task.job.spec,
                 deadline_ms=deadline,
@@ -228,7 +228,7 @@
             StopOrder(
                 upstream=run.upstream,
                 address=upstream.listed.address,
-                token=self.token,
+                token=upstream.fence(self.token),
                 run_id=run.run_id,
                 timeout_s=self.limits.order_timeout_s,
             )
--- a/packages/core/carobramp_core/cells/tests/test_owner.py
+++ b/packages/core/carobramp_core/cells/tests/test_owner.py
@@ -145,9 +145,18 @@
 
     def test_new_life_ends_the_runs(self):
         """Guards against waiting for a task of an upstream that started again."""
+        (ask,) = holds(self.bench.answer_hold(born=2))
+        self.assertGreater(ask.token, self.order.token)
+        self.bench.now += 0.003
         (end,) = messages(self.bench.answer_hold(born=2), TaskEnded)
         self.assertEqual(end.result, TaskResult.LOST)
 
+    def test_late_order_to_an_earlier_life_deposes_nobody(self):
+        """Guards against an owner that gives its cell up for its own newer fence."""
+        self.bench.answer_hold(born=2)
+        fenced = StartAnswered(self.order, Rejected(Refusal.FENCED), self.bench.now)
+        self.assertFalse(any(isinstance(e, Deposed) for e in self.bench.handle(fenced)))
+
     def test_leaving_upstream_gets_nothing(self):
         """Guards against starts on an upstream that drains."""
         leaving = upstream("i-1", state=UpstreamState.LEAVING)
--- a/packages/core/carobramp_core/cells/upstreams.py
+++ b/packages/core/carobramp_core/cells/upstreams.py
@@ -18,6 +18,8 @@
 SPEED_MIN = 0.1
 SPEED_MAX = 4.0
 ROOM_BACKOFF_S = 0.05
+# Lives of one upstream that an owner tells apart by its fence; they share a token.
+LIVES_PER_TOKEN = 1 << 10
 # A run that shows no progress for 1.5 times its expected run time stands still, but
 # not before the first listing, which comes after 0.1 s, and after 0.25 s at the
 # latest. Listings name whole percents: a quarter of the expected run time lets a run
@@ -86,6 +88,7 @@
         self.listed = listed
         self.limits = limits
         self.born_ms = 0
+        self.lives = 0
         self.clock_ms = 0
         self.clock_at = -math.inf
         # The upstream's clock in the newest listing.
@@ -111,6 +114,14 @@
         """Return the id of the upstream."""
         return self.listed.name
 
+    def fence(self, token) -> int:
+        """Return the fencing token of orders to the present life.
+
+        A start for an earlier life that is carried out late would run in a later one,
+        whose clock starts anew: its deadline means nothing there.
+        """
+        return token * LIVES_PER_TOKEN + min(self.lives, LIVES_PER_TOKEN - 1)
+
     def clock(self, now) -> float:
         """Return an estimate of the upstream's clock, in milliseconds."""
         return self.clock_ms + (now - self.clock_at) * 1000
@@ -220,12 +231,15 @@
         """Note that the upstream refused a run for want of room."""
         self.blocked_until = max(self.blocked_until, now + ROOM_BACKOFF_S)
 
-    def reborn(self, born_ms):
-        """Start anew with another life of the upstream; return the lost runs."""
-        lost = list(self.runs.values())
-        for run in lost:
-            self.remove(run)
+    def reborn(self, born_ms, now):
+        """Start anew with another life of the upstream.
+
+        Its runs are over once a listing under the new fence lacks them.
+        """
+        self.lives += 1
         self.born_ms = born_ms
         self.acknowledged = 0
         self.listing_ms = -1
-        return lost
+        for run in self.runs.values():
+            run.settled_at = now
+            run.started_at = now
--- /dev/null
+++ b/packages/testing/carobramp_testing/models/cells.py
@@ -0,0 +1,182 @@
+"""Specification of the ownership of cells, driven by the pure decisions.
+
+Explanation
+===========
+
+A state is the series of faults so far; its successors add one more fault, at the same
+step or later. Each series is played in a `World` of its own, so that every series of
+so many faults at the chosen steps is covered. A mutant lacks one safeguard.
+
+Run as ``python -m carobramp_testing.models.cells``.
+"""
+
+import dataclasses
+import functools
+import sys
+from typing import NamedTuple
+
+from carobramp_core.cells.limits import CellLimits
+from carobramp_core.cells.messages import Interrupted, Refused
+from carobramp_core.cells.orders import NoAnswer, Refusal, Rejected, StartOrder
+from carobramp_core.cells.owner import CellOwner
+from carobramp_testing.models.cell_world import World
+from carobramp_testing.models.specification import Specification, machine
+from carobramp_testing.models.submission import run
+
+KINDS = (
+    "take_over",
+    "kill_owner",
+    "freeze_owner",
+    "freeze_owner_long",
+    "freeze_entry",
+    "kill_entry",
+    "caller_leaves",
+    "cut_link",
+    "cut_to_entry",
+    "cut_to_owner",
+    "cut_upstream",
+    "late_orders",
+    "restart_upstream",
+)
+# As the job comes, and while it runs.
+AT_STEPS = (1, 2, 4, 8)
+FAULTS = 2
+
+ONE_RUN = "no two runs of a task at one time"
+NOT_RUN = "not run is never told of a job that started"
+PROMISES = {
+    ONE_RUN: lambda s: not s["two_runs"],
+    NOT_RUN: lambda s: not (s["told_not_run"] and s["started"]),
+}
+
+ECHO = "echo of a link"
+FENCE = "fencing token"
+SETTLED = "takeover waits for earlier runs"
+ABANDONED = "wait for a lost owner's leases"
+UNKNOWN_FATE = "unanswered start is settled"
+LOST_ENTRY = "runs of a lost entry are stopped"
+COMMITTED = "no refusal after a start"
+SAFEGUARDS = {
+    ECHO: ONE_RUN,
+    FENCE: ONE_RUN,
+    SETTLED: ONE_RUN,
+    ABANDONED: ONE_RUN,
+    UNKNOWN_FATE: ONE_RUN,
+    LOST_ENTRY: ONE_RUN,
+    COMMITTED: NOT_RUN,
+}
+
+
+class State(NamedTuple):
+    """A series of faults and what came of it."""
+
+    faults: tuple = ()
+    two_runs: bool = False
+    told_not_run: bool = False
+    started: bool = False
+
+
+class SettledOwner(CellOwner):
+    """Owner that takes an earlier owner's runs for known at once."""
+
+    def settled(self, members, now):
+        """Return that every run is known."""
+        return True
+
+
+@dataclasses.dataclass(frozen=True)
+class HastyLimits(CellLimits):
+    """Limits without the time in which a lost owner's runs may go on."""
+
+    def abandoned_s(self):
+        """Return the silence of a link alone."""
+        return self.link_silence_s
+
+
+class Mutant(World):
+    """World without one safeguard.
+
+    Parameters
+    ==========
+
+    without : name of the safeguard
+    """
+
+    def __init__(self, faults, without):
+        self.without = without
+        if without == ABANDONED:
+            self.limits = HastyLimits()
+        elif without == LOST_ENTRY:
+            self.limits = CellLimits(entry_grace_s=60.0)
+        super().__init__(faults)
+
+    def new_owner(self, cell, token, taken_over):
+        """Return the decisions of an owner."""
+        kind = SettledOwner if self.without == SETTLED else CellOwner
+        return kind(cell, token, self.limits, self.now, taken_over)
+
+    def next_token(self, token):
+        """Return the token of the next claim."""
+        return token if self.without == FENCE else super().next_token(token)
+
+    def gives_up(self, link, end):
+        """Whether an end closes a link now."""
+        if self.without != ECHO or end is link.entry:
+            return super().gives_up(link, end)
+        return link.peer(end) in link.closed and link.paths[end]
+
+    def read_outcome(self, order, outcome):
+        """Return what an owner makes of the outcome of an order."""
+        lost = isinstance(order, StartOrder) and isinstance(outcome, NoAnswer)
+        if self.without == UNKNOWN_FATE and lost:
+            return Rejected(Refusal.NO_ROOM)
+        return outcome
+
+    def answer(self, entry, outcome):
+        """Give the caller its answer."""
+        if self.without == COMMITTED and isinstance(outcome, Interrupted):
+            outcome = Refused(outcome.reason, 1.0)
+        super().answer(entry, outcome)
+
+
+def play(faults, without=None) -> State:
+    """Play a series of faults and return the state that it leads to."""
+    world = World(faults) if without is None else Mutant(faults, without)
+    world.run()
+    return State(faults, world.two_runs, world.told_not_run, world.started)
+
+
+def transitions(without, steps, state):
+    """Return the states with one more fault."""
+    if len(state.faults) == FAULTS:
+        return []
+    first = state.faults[-1][0] if state.faults else 0
+    return [
+        (f"{kind} at step {step}", play((*state.faults, (step, kind)), without))
+        for step in steps
+        if step >= first
+        for kind in KINDS
+    ]
+
+
+def specification(steps=AT_STEPS) -> Specification:
+    """Return the specification with faults at some steps."""
+
+    def build(without):
+        step = functools.partial(transitions, without, steps)
+        return machine("ownership of cells", play((), without), step)
+
+    bounds = (
+        f"1 job of 1 task, 2 cells, 2 entries, up to {FAULTS} faults of "
+        f"{len(KINDS)} kinds at steps {', '.join(map(str, steps))} of 0.1 s"
+    )
+    return Specification("ownership of cells", bounds, PROMISES, build, SAFEGUARDS)
+
+
+def main() -> int:
+    """Check the specification and its mutants; 0 when all is as it should be."""
+    return 0 if run(specification()) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
