Give each mutant of the cells' specification a counterexample

Cause: three of seven safeguards (echo of a link, fence, waiting for the runs of an earlier owner) had no counterexample, so that the specification could not show what they do.

Change: cell a has two upstreams, the second entry is of the other zone, runs outlast the time after which a caller asks again, late orders arrive just before their deadline, and what a cut holds arrives before the news of the closed link.

--- a/packages/testing/carobramp_testing/models/__init__.py
+++ b/packages/testing/carobramp_testing/models/__init__.py
@@ -8,4 +8,5 @@
 MODULES = (
     "carobramp_testing.models.submission",
     "carobramp_testing.models.tickets",
+    "carobramp_testing.models.cells",
 )
--- a/packages/testing/carobramp_testing/models/cell_world.py
+++ b/packages/testing/carobramp_testing/models/cell_world.py
@@ -54,9 +54,12 @@
 
 STEP_S = 0.1
 STEPS = 45
-# Longer than a lease, so that a run that nobody renews ends early.
-RUN_S = 1.2
+# Longer than the time after which a caller asks again, so that a run which nobody
+# stops is still there then.
+RUN_S = 2.0
 TAKEOVER_S = 0.6
+# Time after which a late order is carried out, just before its deadline.
+LATE_S = 0.9
 TOKENS = 64
 LEASE_MAX_S = 1.0
 JOB = Job(
@@ -88,9 +91,11 @@
 class SimulatedUpstream:
     """An upstream with a lease, a fence and a list of ends, as the platform says."""
 
-    def __init__(self, cell):
+    def __init__(self, name, cell):
         self.cell = cell
-        self.name = f"i-{cell}"
+        self.name = name
+        self.fences = True
+        self.reachable = True
         self.lives = 0
         self.restart(0.0)
 
@@ -137,7 +142,7 @@
 
     def take(self, order, now):
         """Carry out an order; return its outcome."""
-        if order.token < self.token:
+        if order.token < self.token and self.fences:
             return Rejected(Refusal.FENCED)
         self.token = order.token
         if isinstance(order, StartOrder):
@@ -235,17 +240,16 @@
 class OwnerParty(Party):
     """An owner of a cell."""
 
-    def __init__(self, world, upstream, token, taken_over):
-        super().__init__(world, f"owner-{upstream.cell}-{token}")
-        self.upstream = upstream
-        self.cell = upstream.cell
-        self.owner = world.new_owner(upstream.cell, token, taken_over)
+    def __init__(self, world, cell, token, taken_over):
+        super().__init__(world, f"owner-{cell}-{token}")
+        self.cell = cell
+        self.upstreams = {u.name: u for u in world.upstreams if u.cell == cell}
+        self.owner = world.new_owner(cell, token, taken_over)
         self.links: dict[str, Link] = {}
-        self.reaches_upstream = True
         self.late_orders = 0
         # Orders whose answer never comes, with the time at which that is noticed.
         self.unanswered: list = []
-        self.dispatch(Listed((upstream.listed(),)))
+        self.dispatch(Listed(tuple(u.listed() for u in self.upstreams.values())))
 
     def connect(self, link):
         """Take the link of an entry."""
@@ -253,37 +257,40 @@
         link.send(self, self.owner.members())
 
     def step(self):
-        """Take messages, hold the upstream, and let time pass."""
+        """Take messages, hold the upstreams, and let time pass."""
         now = self.world.now
         for name, link in list(self.links.items()):
-            if self.world.gives_up(link, self):
-                self.links.pop(name, None)
-                self.dispatch(EntryLost(name))
-                continue
-            if link.paths[self]:
+            if not self.world.silent(link, self) and link.paths[self]:
                 messages, link.inbox[self] = link.inbox[self], []
                 for message in messages:
                     self.dispatch(FromEntry(name, message))
+            if self.world.gives_up(link, self):
+                self.links.pop(name, None)
+                self.dispatch(EntryLost(name))
         waiting, self.unanswered = self.unanswered, []
         for order, sent_at in waiting:
             self.answered(order, NoAnswer("no answer"), sent_at)
-        hold = self.owner.next_hold(self.upstream.name, now)
-        if hold is not None:
-            self.order(hold)
+        for name in self.upstreams:
+            hold = self.owner.next_hold(name, now)
+            if hold is not None:
+                self.order(hold)
         self.dispatch(Tick())
 
     def order(self, order):
-        """Send an order to the upstream."""
+        """Send an order to its upstream."""
         now = self.world.now
-        if not self.reaches_upstream:
+        upstream = self.upstreams[order.upstream]
+        if not upstream.reachable:
             self.unanswered.append((order, now))
             return
         if self.late_orders and not isinstance(order, HoldOrder):
             self.late_orders -= 1
-            self.world.later.append((now + self.world.LATE_S, self.upstream, order))
+            self.world.later.append((now + LATE_S, upstream, order))
             self.unanswered.append((order, now))
             return
-        self.answered(order, self.upstream.take(order, now), now)
+        outcome = upstream.take(order, now)
+        self.world.check()
+        self.answered(order, outcome, now)
 
     def answered(self, order, outcome, sent_at):
         """Pass on the outcome of an order."""
@@ -369,7 +376,7 @@
 
 
 class World:
-    """Two cells with an upstream each, two entries, and one job.
+    """Two cells, one of them with two upstreams, two entries, and one job.
 
     Parameters
     ==========
@@ -377,22 +384,25 @@
     faults : pairs of a step and the name of a fault, in the order of the steps
     """
 
-    LATE_S = 0.8
     limits = CellLimits()
 
     def __init__(self, faults):
         self.now = 0.0
         self.faults = faults
-        self.upstreams = {cell: SimulatedUpstream(cell) for cell in ("a", "b")}
+        self.upstreams = [
+            SimulatedUpstream(name, cell)
+            for name, cell in (("i-1", "a"), ("i-2", "a"), ("i-3", "b"))
+        ]
         self.links: list[Link] = []
         self.later: list = []
         self.resend_at: list[float] = []
-        self.owners = [
-            OwnerParty(self, upstream, TOKENS, False)
-            for upstream in self.upstreams.values()
-        ]
+        self.owners = [OwnerParty(self, cell, TOKENS, False) for cell in ("a", "b")]
         self.rows = {owner.cell: owner for owner in self.owners}
-        self.entries = [EntryParty(self, f"entry-{n}", "a") for n in (1, 2)]
+        # The second entry is of the other zone, and offers its tasks there first.
+        self.entries = [
+            EntryParty(self, "entry-1", "a"),
+            EntryParty(self, "entry-2", "b"),
+        ]
         self.restored: list = []
         self.silent_since = None
         self.two_runs = False
@@ -404,12 +414,14 @@
         """Return the decisions of an owner."""
         return CellOwner(cell, token, self.limits, self.now, taken_over)
 
+    def silent(self, link, end) -> bool:
+        """Whether an end has no recent echo, and acts on nothing that arrives."""
+        return self.now - link.confirmed_at[end] > self.limits.link_silence_s
+
     def gives_up(self, link, end) -> bool:
-        """Whether an end closes a link now; it acts on nothing that waits there."""
-        peer = link.peer(end)
-        told = peer in link.closed and link.paths[end]
-        silent = self.now - link.confirmed_at[end] > self.limits.link_silence_s
-        if told or silent:
+        """Whether an end closes a link now."""
+        told = link.peer(end) in link.closed and link.paths[end]
+        if told or self.silent(link, end):
             link.closed.add(end)
             link.inbox[end].clear()
             return True
@@ -447,7 +459,7 @@
         for at, restore in [item for item in self.restored if self.now >= item[0]]:
             self.restored.remove((at, restore))
             restore()
-        for upstream in self.upstreams.values():
+        for upstream in self.upstreams:
             upstream.pass_time(self.now)
         self.carry_out_late()
         if step == 1:
@@ -475,7 +487,7 @@
 
     def check(self):
         """Note broken promises."""
-        running = sum(len(u.running) for u in self.upstreams.values())
+        running = sum(len(upstream.running) for upstream in self.upstreams)
         self.started = self.started or running > 0
         self.two_runs = self.two_runs or running > 1
 
@@ -493,16 +505,12 @@
     def take_over(self):
         """Another daemon claims cell a."""
         former = self.rows["a"]
-        token = self.next_token(former.owner.token)
-        present = OwnerParty(self, former.upstream, token, True)
+        token = former.owner.token + TOKENS
+        present = OwnerParty(self, former.cell, token, True)
         self.owners.append(present)
         self.rows["a"] = present
         self.silent_since = None
 
-    def next_token(self, token):
-        """Return the token of the next claim."""
-        return token + TOKENS
-
     def kill_owner(self):
         """The owner of cell a dies."""
         self.rows["a"].end()
@@ -540,8 +548,11 @@
         self.cut((self.entries[0],), 1.6)
 
     def cut_to_owner(self):
-        """The owner of cell a no longer hears the first entry."""
-        self.cut((self.rows["a"],), 0.9)
+        """The owner of cell a no longer hears the first entry.
+
+        What the entry sent arrives when it has just offered the task elsewhere.
+        """
+        self.cut((self.rows["a"],), 2.4)
 
     def cut(self, deaf, seconds):
         """Hold what the deaf ends of a link would receive; deliver it later."""
@@ -559,12 +570,12 @@
         self.restored.append((self.now + seconds, restore))
 
     def cut_upstream(self):
-        """The owner of cell a does not reach its upstream."""
-        owner = self.rows["a"]
-        owner.reaches_upstream = False
+        """Nobody reaches the upstream of cell a that runs the task, or the first."""
+        upstream = self.busy_upstream()
+        upstream.reachable = False
 
         def restore():
-            owner.reaches_upstream = True
+            upstream.reachable = True
 
         self.restored.append((self.now + 0.8, restore))
 
@@ -573,5 +584,10 @@
         self.rows["a"].late_orders = 2
 
     def restart_upstream(self):
-        """The upstream of cell a starts again under its name."""
-        self.upstreams["a"].restart(self.now)
+        """That upstream starts again under its name."""
+        self.busy_upstream().restart(self.now)
+
+    def busy_upstream(self):
+        """Return the upstream of cell a that runs the task, or the first one."""
+        own = [upstream for upstream in self.upstreams if upstream.cell == "a"]
+        return max(own, key=lambda upstream: len(upstream.running))
--- a/packages/testing/carobramp_testing/models/cells.py
+++ b/packages/testing/carobramp_testing/models/cells.py
@@ -109,21 +109,19 @@
         elif without == LOST_ENTRY:
             self.limits = CellLimits(entry_grace_s=60.0)
         super().__init__(faults)
+        for upstream in self.upstreams:
+            upstream.fences = without != FENCE
 
     def new_owner(self, cell, token, taken_over):
         """Return the decisions of an owner."""
         kind = SettledOwner if self.without == SETTLED else CellOwner
         return kind(cell, token, self.limits, self.now, taken_over)
 
-    def next_token(self, token):
-        """Return the token of the next claim."""
-        return token if self.without == FENCE else super().next_token(token)
-
-    def gives_up(self, link, end):
-        """Whether an end closes a link now."""
-        if self.without != ECHO or end is link.entry:
-            return super().gives_up(link, end)
-        return link.peer(end) in link.closed and link.paths[end]
+    def silent(self, link, end):
+        """Whether an end has no recent echo."""
+        if self.without == ECHO and end is link.owner:
+            return False
+        return super().silent(link, end)
 
     def read_outcome(self, order, outcome):
         """Return what an owner makes of the outcome of an order."""
