Contain unexpected errors instead of ending the process

Cause: an exception in any background task of a daemon crashed it: one row of the store whose value is not base64, or one call that raised, ended the owner of a cell. Change: contain_errors logs and counts an exception (unexpected_errors, by activity); it wraps the handling of each event and effect, each call to an upstream and each round of a loop. A failed assertion still stops the process. Ruled out: an upstream id that is no valid header value; the HTTP client reports it as an error of the call (test kept).

--- a/packages/daemon/carobramp_daemon/cells/owner.py
+++ b/packages/daemon/carobramp_daemon/cells/owner.py
@@ -14,6 +14,7 @@
     Listing,
     LogEvent,
     NoAnswer,
+    OwnerEffect,
     OwnerEvent,
     OwnershipLost,
     OwnerTick,
@@ -32,7 +33,7 @@
 from carobramp_daemon.cells import frames
 from carobramp_daemon.cells.clock import now
 from carobramp_daemon.cells.links import FrameLink
-from carobramp_daemon.cells.supervised_tasks import spawn
+from carobramp_daemon.cells.supervised_tasks import contain_errors, spawn
 
 # The platform grants a draining upstream two seconds, and the owner must learn of the
 # drain well within them; a read takes up to 0.1 s on a slow store.
@@ -139,24 +140,30 @@
 
     def dispatch(self, event: OwnerEvent):
         """Pass an event to the owner and carry out the effects that it returns."""
-        for effect in self.owner.handle(event, now()):
-            if isinstance(effect, StartOrder):
-                self.metrics.increment("task_starts", self.owner.cell)
-                self.spawn(self.start_run(effect))
-            elif isinstance(effect, StopOrder):
-                self.spawn(self.stop_run(effect))
-            elif isinstance(effect, PollOrder):
-                self.spawn(self.poll_once(effect))
-            elif isinstance(effect, SendToEntry):
-                link = self.links.get(effect.entry)
-                if link is not None:
-                    link.send(effect.message)
-            elif isinstance(effect, LogEvent):
-                self.event_log.info(
-                    effect.message, cell=self.owner.cell, **effect.fields
-                )
-            elif isinstance(effect, OwnershipLost):
-                self.on_ownership_lost(self, effect.upstream)
+        effects = []
+        with contain_errors(self, type(event).__name__):
+            effects = self.owner.handle(event, now())
+        for effect in effects:
+            with contain_errors(self, type(effect).__name__):
+                self.carry_out(effect)
+
+    def carry_out(self, effect: OwnerEffect):
+        """Carry out one effect of the owner; calls run in tasks of their own."""
+        if isinstance(effect, StartOrder):
+            self.metrics.increment("task_starts", self.owner.cell)
+            self.spawn(self.start_run(effect))
+        elif isinstance(effect, StopOrder):
+            self.spawn(self.stop_run(effect))
+        elif isinstance(effect, PollOrder):
+            self.spawn(self.poll_once(effect))
+        elif isinstance(effect, SendToEntry):
+            link = self.links.get(effect.entry)
+            if link is not None:
+                link.send(effect.message)
+        elif isinstance(effect, LogEvent):
+            self.event_log.info(effect.message, cell=self.owner.cell, **effect.fields)
+        elif isinstance(effect, OwnershipLost):
+            self.on_ownership_lost(self, effect.upstream)
 
     def spawn(self, coroutine):
         """Run a call in a task that is cancelled when this service stops."""
@@ -215,9 +222,10 @@
     async def refresh_upstreams(self):
         """Read the list of upstreams at intervals; a failed read changes nothing."""
         while not self.should_stop:
-            upstreams = await self.upstream_list.read_upstreams()
-            if not isinstance(upstreams, Unavailable):
-                self.update_upstreams(upstreams)
+            with contain_errors(self, "refresh_upstreams"):
+                upstreams = await self.upstream_list.read_upstreams()
+                if not isinstance(upstreams, Unavailable):
+                    self.update_upstreams(upstreams)
             await self.sleep(LIST_INTERVAL_S)
 
     def send_upstreams_to_deputy(self):
@@ -241,13 +249,19 @@
         """Poll one upstream until the owner returns no order for it."""
         pause = POLL_RETRY_MIN_S
         while not self.should_stop:
-            order = self.owner.next_poll(name, now())
-            if order is None:
-                break
-            outcome = await self.poll_once(order)
+            order, outcome = None, None
+            with contain_errors(self, "poll_upstream"):
+                order = self.owner.next_poll(name, now())
+                if order is None:
+                    break
+                outcome = await self.poll_once(order)
             if isinstance(outcome, Listing):
                 pause = POLL_RETRY_MIN_S
-            elif isinstance(outcome, NoAnswer) and order.deadline_ms is not None:
+            elif (
+                order
+                and isinstance(outcome, NoAnswer)
+                and order.deadline_ms is not None
+            ):
                 continue
             else:
                 await asyncio.sleep(pause)
@@ -266,13 +280,18 @@
         """Send capacity reports to all entries, which serve as heartbeats."""
         while not self.should_stop:
             await asyncio.sleep(self.limits.heartbeat_s)
-            report = self.owner.capacity_report(now())
-            data = frames.encode(report).SerializeToString()
-            for link in list(self.links.values()):
-                if is_remote(link):
-                    link.write_frame(data)
-                else:
-                    link.send(report)
+            with contain_errors(self, "send_heartbeats"):
+                self.send_capacity_report()
+
+    def send_capacity_report(self):
+        """Send the present capacity report to all entries."""
+        report = self.owner.capacity_report(now())
+        data = frames.encode(report).SerializeToString()
+        for link in list(self.links.values()):
+            if is_remote(link):
+                link.write_frame(data)
+            else:
+                link.send(report)
 
 
 def is_remote(link) -> TypeGuard[FrameLink]:
--- a/packages/daemon/carobramp_daemon/cells/supervised_tasks.py
+++ b/packages/daemon/carobramp_daemon/cells/supervised_tasks.py
@@ -1,17 +1,54 @@
-"""Background tasks of a service; an exception in one stops the process."""
+"""Containment of unexpected errors in background tasks of a service."""
 
 import asyncio
+import contextlib
+
+from carobramp_daemon.logs import raise_location
+
+
+@contextlib.contextmanager
+def contain_errors(service, activity):
+    """Log and count an exception of one activity, so that the service continues.
+
+    A failed assertion is a broken invariant and is raised.
+
+    Parameters
+    ==========
+
+    service : service with an `event_log` and `metrics`
+    activity : short name, the label of the counter `unexpected_errors`
+    """
+    try:
+        yield
+    except AssertionError:
+        raise
+    except Exception as error:
+        service.metrics.increment("unexpected_errors", activity)
+        service.event_log.info(
+            "unexpected error",
+            activity=activity,
+            error=repr(error),
+            place=raise_location(error),
+        )
 
 
 def spawn(service, coroutine) -> asyncio.Task:
-    """Run a coroutine as a task of a service; an exception in it crashes the service.
+    """Run a coroutine as a task of a service.
 
-    Nothing awaits these tasks, so that otherwise an exception would go unnoticed and
-    the daemon would continue without the task.
+    An exception in it is logged and counted under the name of the coroutine. A failed
+    assertion crashes the service: nothing awaits these tasks, so that it would go
+    unnoticed otherwise.
     """
-    task = asyncio.create_task(coroutine)
+
+    async def run():
+        with contain_errors(service, coroutine.__name__):
+            return await coroutine
+
+    task = asyncio.create_task(run())
 
     def check(done):
+        # A task that is cancelled before its first step never awaits the coroutine.
+        coroutine.close()
         if not done.cancelled() and done.exception() is not None:
             service.crashing = asyncio.create_task(service.crash(done.exception()))
 
