Wake an idle daemon less often and poll busy upstreams less often

Busy upstreams were polled 13 times a second, and each placement examined every upstream for the top speed. Change: one timer serves all links; entries tick while they have jobs; rows are watched by their changes; heartbeats are not decoded; a busy upstream is polled every 0.2 s without an end; the top speed is computed only for a task that would miss its objective, speeds and orphaned runs are kept as values. The soak's test keeps the logs of a failure.

--- a/packages/core/carobramp_core/cells/event_handlers.py
+++ b/packages/core/carobramp_core/cells/event_handlers.py
@@ -185,7 +185,7 @@
     upstream.record_success()
     elapsed_s = max(0.001, now - run.started_at)
     upstream.learn_speed(run.expected_s / elapsed_s)
-    work_ms = elapsed_s * MS_PER_S * upstream.relative_speed()
+    work_ms = elapsed_s * MS_PER_S * upstream.relative_speed
     owner.run_time_estimator(run.job.queue).learn(run.job.estimate_ms, work_ms)
 
 
--- a/packages/core/carobramp_core/cells/limits.py
+++ b/packages/core/carobramp_core/cells/limits.py
@@ -21,7 +21,8 @@
         a third of the lease, so that another poll follows a lost answer within the
         lease
     busy_poll_wait_s : the same for an upstream with runs; ends are learned only from
-        polls, so a lost answer delays a job and occupies capacity for this time
+        polls, so a lost answer delays a job and occupies capacity for this time,
+        while a shorter wait means more polls
     order_timeout_s : longest wait for the answer to a start or stop order; starts
         take 5 ms at the 95th percentile, and a listing shows the outcome of a slow one
     poll_margin_s : time after its wait at which a poll counts as unanswered; two
@@ -42,7 +43,7 @@
 
     lease_s: float = 1.0
     poll_wait_s: float = 0.3
-    busy_poll_wait_s: float = 0.1
+    busy_poll_wait_s: float = 0.2
     order_timeout_s: float = 0.06
     poll_margin_s: float = 0.1
     run_stop_s: float = 0.05
--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -9,6 +9,7 @@
 """
 
 import dataclasses
+import functools
 
 from carobramp_core.cells.event_handlers import on_event
 from carobramp_core.cells.limits import CellLimits
@@ -265,7 +266,10 @@
         candidates_by_service = self.upstreams_with_free_cpu(now)
         if not any(candidates_by_service.values()):
             return
-        top_speeds = {name: self.top_speed(name, now) for name in candidates_by_service}
+        top_speeds = {
+            service: functools.cache(functools.partial(self.top_speed, service, now))
+            for service in candidates_by_service
+        }
         self.waiting.sort(key=lambda task: urgency_key(task, now))
         still_waiting, started = [], {}
         for position, task in enumerate(self.waiting):
@@ -314,7 +318,7 @@
         usable = (
             u for u in self.upstreams_by_service.get(service, ()) if u.is_usable(now)
         )
-        return max((u.relative_speed() for u in usable), default=1.0)
+        return max((u.relative_speed for u in usable), default=1.0)
 
     def placement_log_event(self, job_id, placed, now) -> LogEvent:
         """Return the log event of started tasks, with the inputs of the decision."""
--- a/packages/core/carobramp_core/cells/placement.py
+++ b/packages/core/carobramp_core/cells/placement.py
@@ -11,6 +11,7 @@
 
 import dataclasses
 import math
+from collections.abc import Callable
 
 from carobramp_core.cells.messages import LATE_FACTOR, Job
 from carobramp_core.cells.upstreams import Upstream
@@ -74,7 +75,7 @@
 
 
 def choose_upstream(
-    task: WaitingTask, upstreams, top_speed, now: float
+    task: WaitingTask, upstreams, top_speed: Callable[[], float], now: float
 ) -> Upstream | None:
     """Return the upstream on which a task starts now, or None if it should wait.
 
@@ -82,7 +83,9 @@
     ==========
 
     upstreams : usable upstreams of the task's service that have free cores
-    top_speed : highest relative speed of the service's usable upstreams
+    top_speed : returns the highest relative speed of the service's usable upstreams;
+        called only if the chosen upstream would miss the objective, since it examines
+        every upstream
     """
     best: Upstream | None = None
     best_key = (math.inf, math.inf)
@@ -90,16 +93,15 @@
         if not upstream.has_capacity_for(task.job) or upstream.name in task.avoid:
             continue
         remaining_cpu = upstream.record.cpu - upstream.used_cpu - task.job.cpu
-        key = (task.expected_s / upstream.relative_speed(), remaining_cpu)
+        key = (task.expected_s / upstream.relative_speed, remaining_cpu)
         if key < best_key:
             best, best_key = upstream, key
     if best is None:
         return None
-    meets_objective = now + best_key[0] <= task.objective_at()
-    fastest_meets_it = now + task.expected_s / top_speed <= task.objective_at()
-    if not meets_objective and fastest_meets_it:
-        return None
-    return best
+    if now + best_key[0] <= task.objective_at():
+        return best
+    fastest_meets_it = now + task.expected_s / top_speed() <= task.objective_at()
+    return None if fastest_meets_it else best
 
 
 def queueing_delay_s(waiting, total_cpu) -> float:
--- a/packages/core/carobramp_core/cells/upstreams.py
+++ b/packages/core/carobramp_core/cells/upstreams.py
@@ -113,12 +113,16 @@
         self.suspect = True
         self.missing_since: float | None = None
         self.runs: dict[RunId, Run] = {}
+        # Number of runs whose job is unknown, as no entry has claimed them yet.
+        self.orphaned_run_count = 0
         self.used_cpu = 0
         self.used_memory_mb = 0
         self.used_accelerators = 0
         self.blocked_until = -math.inf
         # Logarithm of the learned speed.
         self.log_speed = 0.0
+        # Learned speed relative to the mean upstream, whose speed is 1.
+        self.relative_speed = 1.0
         self.speed_samples = 0
         self.failed_jobs: set[str] = set()
         self.quarantine_s = 0.0
@@ -173,8 +177,12 @@
             self.adjust_used_capacity(run, -1)
 
     def adjust_used_capacity(self, run: Run, sign):
-        """Add (`sign` 1) or subtract (-1) the capacity of a run whose job is known."""
+        """Add (`sign` 1) or subtract (-1) what a run occupies.
+
+        A run of unknown size is counted instead; meanwhile nothing starts here.
+        """
         if run.job is None:
+            self.orphaned_run_count += sign
             return
         self.used_cpu += sign * run.job.cpu
         self.used_memory_mb += sign * run.job.memory_mb
@@ -182,15 +190,10 @@
 
     def claim_run(self, run: Run, job: Job, entry):
         """Assign a run to the entry that waits for it and to the entry's job."""
-        had_job = run.job is not None
+        self.adjust_used_capacity(run, -1)
         run.job = job
         run.entry = entry
-        if not had_job:
-            self.adjust_used_capacity(run, 1)
-
-    def has_orphaned_runs(self):
-        """Return whether a run of unknown size occupies capacity."""
-        return any(run.job is None for run in self.runs.values())
+        self.adjust_used_capacity(run, 1)
 
     def is_usable(self, now) -> bool:
         """Return whether new runs may start here, free capacity aside."""
@@ -199,7 +202,7 @@
             and not self.suspect
             and self.record.state == UpstreamState.READY
             and now >= self.blocked_until
-            and not self.has_orphaned_runs()
+            and not self.orphaned_run_count
             and not (self.probing and self.runs)
         )
 
@@ -215,15 +218,12 @@
         """Return the free cores in thousandths; 0 while no run may start here."""
         return max(0, self.record.cpu - self.used_cpu) if self.is_usable(now) else 0
 
-    def relative_speed(self) -> float:
-        """Return the learned speed relative to the mean upstream, whose speed is 1."""
-        return min(SPEED_MAX, max(SPEED_MIN, math.exp(self.log_speed)))
-
     def learn_speed(self, speed):
         """Add the speed of one run to the average; the first runs weigh more."""
         weight = max(SPEED_WEIGHT, 1 / (self.speed_samples + 1))
         bounded = min(SPEED_MAX, max(SPEED_MIN, speed))
         self.log_speed += weight * (math.log(bounded) - self.log_speed)
+        self.relative_speed = math.exp(self.log_speed)
         self.speed_samples += 1
 
     def record_success(self):
--- a/packages/daemon/carobramp_daemon/cells/coordinator.py
+++ b/packages/daemon/carobramp_daemon/cells/coordinator.py
@@ -28,12 +28,15 @@
 from carobramp_daemon.cells.links import EntryLinks, LocalLink, RemoteLink
 from carobramp_daemon.cells.owner import OwnerService
 from carobramp_daemon.cells.rows import CellRow, CoordinationRows, VmRow
-from carobramp_daemon.cells.supervised_tasks import spawn
+from carobramp_daemon.cells.supervised_tasks import contain_errors, spawn
 
 # A VM of the cell's zone reclaims it from an owner that has less than this fraction of
 # its cores.
 MIN_OWNER_CORES_RATIO = 0.6
 LINK_RETRY_S = 0.1
+# Interval at which a daemon with a link to a cell's owner checks whether it should
+# reclaim the cell; a changed row triggers the check at once.
+RECLAIM_CHECK_S = 0.5
 # An entry can read the row of a new owner some ms before that owner learns that its
 # claim was committed, so the first attempts to open a link follow each other quickly.
 FAST_LINK_RETRY_S = 0.02
@@ -147,23 +150,28 @@
             row, _ = self.rows.cell(state.name)
             if row is not None and row.token != token:
                 token, attempts = row.token, 0
-            target = self.choose_link_target(state, row, attempts)
-            if target is not None and target.vm != self.own_row.vm:
-                link = RemoteLink(
-                    state.name,
-                    self.own_row.vm,
-                    (target.host, target.link_port),
-                    self.entry_service,
-                    self.limits,
-                    lambda deputy: self.record_deputy(state, deputy),
-                )
-                await self.run_link(state, link, target)
-            await self.take_over_if_needed(state)
+            with contain_errors(self, "maintain_link"):
+                await self.link_or_take_over(state, row, attempts)
             attempts += 1
             await self.wait_for_row_change(
                 FAST_LINK_RETRY_S if attempts <= FAST_LINK_RETRIES else LINK_RETRY_S
             )
 
+    async def link_or_take_over(self, state: CellState, row: CellRow | None, attempts):
+        """Serve a link to the owner of a cell while there is one, else take over."""
+        target = self.choose_link_target(state, row, attempts)
+        if target is not None and target.vm != self.own_row.vm:
+            link = RemoteLink(
+                state.name,
+                self.own_row.vm,
+                (target.host, target.link_port),
+                self.entry_service,
+                self.limits,
+                lambda deputy: self.record_deputy(state, deputy),
+            )
+            await self.run_link(state, link, target)
+        await self.take_over_if_needed(state)
+
     async def wait_for_row_change(self, seconds=LINK_RETRY_S):
         """Wait until a row changes, at most for `seconds`."""
         try:
@@ -211,9 +219,11 @@
         serving = asyncio.create_task(link.run())
         try:
             while not serving.done():
-                row_change = asyncio.create_task(self.wait_for_row_change())
+                row_change = asyncio.create_task(self.table.wait_for_change())
                 await asyncio.wait(
-                    [serving, row_change], return_when=asyncio.FIRST_COMPLETED
+                    [serving, row_change],
+                    timeout=RECLAIM_CHECK_S,
+                    return_when=asyncio.FIRST_COMPLETED,
                 )
                 row_change.cancel()
                 linked = link.cell in self.entry_service.links
@@ -225,7 +235,7 @@
                 if linked and self.should_reclaim_from(state, target):
                     await self.take_over_if_needed(state)
         finally:
-            if state.owner_silent_since is None:
+            if link.opened:
                 state.owner_silent_since = (
                     now() if serving.done() else link.last_received_at
                 )
@@ -427,34 +437,48 @@
         await self.remove_dependency(service)
 
     @Service.task
-    async def close_stale_links(self):
-        """Close stale links of entries at every heartbeat interval."""
+    async def maintain_open_links(self):
+        """Send due heartbeats and close stale links at every heartbeat interval.
+
+        One timer serves all links: an entry has a link to the owner of each cell, and
+        a timer for each link would wake an idle daemon many times a second.
+        """
         while not self.should_stop:
             await asyncio.sleep(self.limits.heartbeat_s)
-            self.entry_links.close_stale()
+            with contain_errors(self, "maintain_open_links"):
+                self.entry_links.close_stale()
+                for state in self.cells.values():
+                    if state.link is not None:
+                        state.link.maintain()
 
     @Service.task
     async def watch_cell_rows(self):
-        """Stop owning cells whose row has a higher token; claim those with a lower."""
+        """Stop owning a cell as soon as its row is seen to have a higher token."""
         while not self.should_stop:
-            await self.wait_for_row_change()
-            for cell, service in list(self.owned.items()):
-                row, _ = self.rows.cell(cell)
-                if row is not None and row.token > service.owner.token:
-                    self.event_log.info(
-                        "cell claimed by another daemon", cell=cell, owner=row.vm
-                    )
-                    self.stop_owning(service)
-                elif row is not None and row.token < service.owner.token:
-                    await self.claim_as_deputy(service)
+            await self.table.wait_for_change()
+            with contain_errors(self, "watch_cell_rows"):
+                for service in list(self.owned.values()):
+                    self.stop_owning_if_claimed(service)
+
+    def stop_owning_if_claimed(self, service: OwnerService):
+        """Stop owning a cell whose row has a higher token than this owner."""
+        cell = service.owner.cell
+        row, _ = self.rows.cell(cell)
+        if row is not None and row.token > service.owner.token:
+            self.event_log.info(
+                "cell claimed by another daemon", cell=cell, owner=row.vm
+            )
+            self.stop_owning(service)
 
     async def claim_as_deputy(self, service: OwnerService):
         """Claim a cell that was taken over while the store was unreachable."""
         cell = service.owner.cell
+        row, version = self.rows.cell(cell)
+        if row is None or row.token >= service.owner.token:
+            return
         if not self.table.is_reachable() or self.draining:
             return
-        row, version = self.rows.cell(cell)
-        token = claim_token(row.token if row else 0)
+        token = claim_token(row.token)
         result = await self.write_claim(self.cells[cell], token, version)
         self.event_log.info("deputy claim attempted", cell=cell, result=repr(result))
         if isinstance(result, Committed) and self.owned.get(cell) is service:
@@ -464,10 +488,19 @@
             self.start_owning(self.cells[cell], token, taken_over=True)
 
     @Service.task
-    async def name_deputies_periodically(self):
-        """Choose the deputy of each owned cell anew at intervals."""
+    async def maintain_ownership(self):
+        """Choose the deputies of the owned cells anew at intervals.
+
+        A cell that was taken over without the store is claimed there once the store
+        is reachable.
+        """
         while not self.should_stop:
             await asyncio.sleep(DEPUTY_CHECK_S)
-            vms = list(self.rows.vms().values()) if self.owned else []
-            for service in list(self.owned.values()):
-                service.name_deputy(vms)
+            if not self.owned:
+                continue
+            with contain_errors(self, "maintain_ownership"):
+                vms = list(self.rows.vms().values())
+                for service in list(self.owned.values()):
+                    self.stop_owning_if_claimed(service)
+                    service.name_deputy(vms)
+                    await self.claim_as_deputy(service)
--- a/packages/daemon/carobramp_daemon/cells/entry.py
+++ b/packages/daemon/carobramp_daemon/cells/entry.py
@@ -8,6 +8,7 @@
     AnswerCaller,
     CallerGone,
     Entry,
+    EntryEffect,
     EntryEvent,
     EntryTick,
     JobReceived,
@@ -20,6 +21,7 @@
 from carobramp_core.cells.orders import LogEvent
 from carobramp_core.cells.ports import Link
 from carobramp_daemon.cells.clock import now
+from carobramp_daemon.cells.supervised_tasks import contain_errors
 
 
 class EntryService(Service):
@@ -44,6 +46,8 @@
         self.event_log = log
         self.links: dict[str, Link] = {}
         self.pending_outcomes: dict[str, asyncio.Future] = {}
+        # Set while the entry has open jobs: only these depend on ticks.
+        self.has_jobs = asyncio.Event()
 
     async def submit(self, job: Job) -> Outcome:
         """Run a job and return its outcome.
@@ -56,8 +60,11 @@
         self.pending_outcomes[job.job_id] = outcome_future
         if earlier is not None and not earlier.done():
             earlier.set_result(Interrupted(NoResultReason.INTERRUPTED))
+        elif self.dispatch(JobReceived(job)):
+            self.has_jobs.set()
         else:
-            self.dispatch(JobReceived(job))
+            outcome_future.set_result(Interrupted(NoResultReason.INTERRUPTED))
+            self.dispatch(CallerGone(job.job_id))
         try:
             return await outcome_future
         except asyncio.CancelledError:
@@ -98,17 +105,29 @@
         if self.links.get(cell) is link:
             self.dispatch(OwnerMessageReceived(cell, message))
 
-    def dispatch(self, event: EntryEvent):
-        """Pass an event to the entry and carry out the effects that it returns."""
-        for effect in self.entry.handle(event, now()):
-            if isinstance(effect, SendToOwner):
-                link = self.links.get(effect.cell)
-                if link is not None:
-                    link.send(effect.message)
-            elif isinstance(effect, AnswerCaller):
-                self.complete_job(effect)
-            elif isinstance(effect, LogEvent):
-                self.event_log.info(effect.message, **effect.fields)
+    def dispatch(self, event: EntryEvent) -> bool:
+        """Pass an event to the entry and carry out the effects that it returns.
+
+        Returns False if the entry failed to handle the event.
+        """
+        effects = None
+        with contain_errors(self, type(event).__name__):
+            effects = self.entry.handle(event, now())
+        for effect in effects or ():
+            with contain_errors(self, type(effect).__name__):
+                self.carry_out(effect)
+        return effects is not None
+
+    def carry_out(self, effect: EntryEffect):
+        """Carry out one effect of the entry."""
+        if isinstance(effect, SendToOwner):
+            link = self.links.get(effect.cell)
+            if link is not None:
+                link.send(effect.message)
+        elif isinstance(effect, AnswerCaller):
+            self.complete_job(effect)
+        elif isinstance(effect, LogEvent):
+            self.event_log.info(effect.message, **effect.fields)
 
     def complete_job(self, effect: AnswerCaller):
         """Record the outcome of a job and pass it to its caller."""
@@ -132,8 +151,11 @@
 
     @Service.task
     async def tick(self):
-        """Send tick events to the entry, which drive its timeouts."""
+        """Send tick events to the entry while it has jobs; they drive its timeouts."""
         while not self.should_stop:
+            await self.has_jobs.wait()
             await asyncio.sleep(self.entry.limits.tick_s)
             self.metrics.set_gauge("open_requests", len(self.pending_outcomes))
             self.dispatch(EntryTick())
+            if not self.entry.jobs:
+                self.has_jobs.clear()
--- a/packages/daemon/carobramp_daemon/cells/links.py
+++ b/packages/daemon/carobramp_daemon/cells/links.py
@@ -112,7 +112,12 @@
         self.close_if_stale()
 
     def deliver_frame(self, data):
-        """Pass one frame to `on_frame`; close the link if it cannot be decoded."""
+        """Pass one frame to `on_frame`; close the link if it cannot be decoded.
+
+        Heartbeats, most of the frames of an idle link, have no content to decode.
+        """
+        if data == HEARTBEAT_FRAME:
+            return
         try:
             self.on_frame(self, pb.Frame.FromString(data))
         except (DecodeError, ValueError) as error:
@@ -200,7 +205,7 @@
         return self.link.last_received_at if self.link else float("-inf")
 
     async def run(self):
-        """Connect to the owner and serve the link; return why it was closed."""
+        """Connect to the owner and keep the link until it closes; return why it did."""
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(self.limits.link_timeout_s):
@@ -211,25 +216,24 @@
         except (OSError, TimeoutError) as error:
             return repr(error)
         try:
-            return await self.serve(self.link)
+            hello = pb.Hello(
+                cell=self.cell, vm=self.vm, entry=f"{self.vm}/{next(LINK_NUMBERS)}"
+            )
+            self.link.write_frame(pb.Frame(hello=hello).SerializeToString())
+            return await self.closed
         finally:
             self.link.close("the cell has another owner")
             self.entry_service.owner_link_closed(
                 self.cell, self.link, self.last_received_at
             )
 
-    async def serve(self, link: FrameLink):
-        """Send a hello frame, then heartbeats until the link is closed; return why."""
-        hello = pb.Hello(
-            cell=self.cell, vm=self.vm, entry=f"{self.vm}/{next(LINK_NUMBERS)}"
-        )
-        link.write_frame(pb.Frame(hello=hello).SerializeToString())
-        while not self.closed.done():
-            await asyncio.wait([self.closed], timeout=self.limits.heartbeat_s)
-            if now() - link.written_at >= self.limits.heartbeat_s:
-                link.write_frame(HEARTBEAT_FRAME)
-            link.close_if_stale()
-        return self.closed.result()
+    def maintain(self):
+        """Send a heartbeat if one is due, and close the link if it is stale."""
+        if self.link is None or self.closed.done():
+            return
+        if now() - self.link.written_at >= self.limits.heartbeat_s:
+            self.link.write_frame(HEARTBEAT_FRAME)
+        self.link.close_if_stale()
 
     def on_frame(self, link: FrameLink, frame: pb.Frame):
         """Pass a message of the owner to the entry, or its deputy to `on_deputy`."""
--- a/packages/testing/carobramp_testing/chaos/leased.py
+++ b/packages/testing/carobramp_testing/chaos/leased.py
@@ -118,10 +118,16 @@
             await asyncio.gather(*self.running)
             violations = [*await self.check_recovery(), *self.check_runs()]
             if violations and self.logs:
-                folder = pathlib.Path(self.logs, f"seed-{self.seed}")
-                shutil.copytree(self.deployment.folder.name, folder, dirs_exist_ok=True)
+                self.keep_logs(violations)
             return violations
 
+    def keep_logs(self, violations):
+        """Copy the daemons' logs and the violations to the folder for logs."""
+        folder = pathlib.Path(self.logs, f"seed-{self.seed}")
+        shutil.copytree(self.deployment.folder.name, folder, dirs_exist_ok=True)
+        lines = [self.summary(), *violations]
+        (folder / "violations.txt").write_text("\n".join(lines) + "\n")
+
     def spawn(self, coroutine):
         """Run something beside the rest; `run` waits for it."""
         task = asyncio.create_task(coroutine)
