Shorten the leases of runs that no entry has claimed

Cause: after a takeover an entry that finds no owner starts its tasks in another cell 1.72 s after the last message of the lost owner. The new owner renewed the leases of adopted runs for a second with each poll and relied on its own tick to stop those that no entry claims, so that an owner that was paused or slow in between let them run beside the new runs. The reason was found by reading, after test_leased had shown two runs of one task at one time once, at load 9. Change: while a run is unclaimed, a poll renews the lease of its upstream only up to unclaimed_lease_s (0.6 s) after the adoption. Upstreams then end the run themselves. Measured: test_paused_owner_does_not_prolong_an_unclaimed_run fails without the change (8 passed, 1 failed) and passes with it; 97 passed, 0 failed in the tests of cells, models, partitions and deputies. Conclusion: this way to two runs is closed; that it was the one seen is not shown, since no logs were kept.

--- a/packages/core/carobramp_core/cells/limits.py
+++ b/packages/core/carobramp_core/cells/limits.py
@@ -58,6 +58,16 @@
         """Return the time from the last renewal until a lease has certainly expired."""
         return self.lease_s / (1 - CLOCK_DRIFT) + CLOCK_ROUNDING_S
 
+    def unclaimed_lease_s(self) -> float:
+        """Return the time from the adoption of a run to the end of its first leases.
+
+        An owner that works as planned stops an unclaimed run after `orphan_claim_s` and
+        polls its upstream again before this time. Leases that end then also end the run
+        if the owner is paused meanwhile: the entry may have given the job up by then
+        and have started its tasks in another cell.
+        """
+        return self.orphan_claim_s + self.busy_poll_wait_s + self.poll_margin_s
+
     def run_end_after_link_loss_s(self) -> float:
         """Return the time from a link's last message until its runs have ended.
 
--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -114,14 +114,13 @@
         upstream = self.upstreams.get(name)
         if upstream is None or self.ownership_lost:
             return None
-        deadline_ms = None
-        if upstream.answered and not upstream.suspect:
-            deadline_ms = upstream.lease_deadline_ms(now)
-            upstream.record_lease(deadline_ms)
-        wait_s = 0.0
+        if not upstream.answered or upstream.suspect:
+            return self.poll_order(upstream, None, 0.0)
+        deadline_ms = upstream.lease_deadline_ms(now)
         if deadline_ms is not None:
-            limits = self.limits
-            wait_s = limits.busy_poll_wait_s if upstream.runs else limits.poll_wait_s
+            upstream.record_lease(deadline_ms)
+        limits = self.limits
+        wait_s = limits.busy_poll_wait_s if upstream.runs else limits.poll_wait_s
         return self.poll_order(upstream, deadline_ms, wait_s)
 
     def poll_order(self, upstream: Upstream, deadline_ms, wait_s) -> PollOrder:
@@ -181,6 +180,7 @@
         upstream.add_run(run)
         self.index_run(run)
         deadline_ms = upstream.lease_deadline_ms(now)
+        assert deadline_ms is not None, "no run starts beside an unclaimed one"
         upstream.record_lease(deadline_ms)
         effects.append(
             StartOrder(
--- a/packages/core/carobramp_core/cells/tests/test_owner.py
+++ b/packages/core/carobramp_core/cells/tests/test_owner.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from carobramp_core.cells.limits import CLOCK_DRIFT
 from carobramp_core.cells.messages import (
     ReturnReason,
     TaskEnded,
@@ -227,6 +228,41 @@
         harness.answer_poll(running=[ActiveRun(RunId("0" * 16, 0, 7), 40)])
         self.assertEqual(len(stops(harness.tick(LIMITS.orphan_claim_s + 0.1))), 1)
 
+    def test_paused_owner_does_not_prolong_an_unclaimed_run(self):
+        """Guards against two runs of a task when a new owner is paused or slow.
+
+        An entry that has lost a cell's owner starts the tasks in another cell after
+        `run_end_after_link_loss_s`. Each poll of the new owner renewed the leases of
+        adopted runs for a second, so that they outlived that time if it was paused.
+        """
+        harness = OwnerHarness(upstream(), taken_over=True)
+        adopted_at = harness.now
+        harness.answer_poll(running=[ActiveRun(RunId("0" * 16, 0, 7), 40)])
+        state = harness.owner.upstreams["i-1"]
+        for _ in range(3):
+            harness.owner.next_poll("i-1", harness.now)
+            latest = adopted_at + LIMITS.unclaimed_lease_s()
+            drift_s = LIMITS.lease_s - LIMITS.lease_s * (1 - CLOCK_DRIFT)
+            self.assertLessEqual(state.leased_until, latest + drift_s)
+            harness.now += LIMITS.busy_poll_wait_s
+        harness.now = adopted_at + LIMITS.lease_s
+        self.assertIsNone(harness.owner.next_poll("i-1", harness.now).deadline_ms)
+
+    def test_claimed_run_gets_the_whole_lease(self):
+        """Guards against adopted runs that end although an entry has claimed them."""
+        harness = OwnerHarness(upstream(), taken_over=True)
+        harness.answer_poll(running=[ActiveRun(RunId("0" * 16, 0, 7), 40)])
+        harness.offer(job("0" * 16), resumed=True)
+        harness.owner.next_poll("i-1", harness.now)
+        state = harness.owner.upstreams["i-1"]
+        self.assertGreater(state.leased_until, harness.now + LIMITS.lease_s - 0.01)
+
+    def test_unclaimed_run_ends_before_its_task_starts_in_another_cell(self):
+        """Guards against limits whose sum lets a run outlive its entry's patience."""
+        last_adoption_s = LIMITS.lease_expiry_s()
+        end_s = last_adoption_s + LIMITS.unclaimed_lease_s()
+        self.assertLess(end_s, LIMITS.run_end_after_link_loss_s())
+
     def test_higher_token_ends_the_ownership(self):
         """Guards against two owners of a cell that both send orders."""
         harness = OwnerHarness(upstream())
--- a/packages/core/carobramp_core/cells/upstreams.py
+++ b/packages/core/carobramp_core/cells/upstreams.py
@@ -148,9 +148,27 @@
         """Return the estimated clock of the upstream at time `now`."""
         return self.clock_ms + (now - self.clock_at) * 1000
 
-    def lease_deadline_ms(self, now) -> int:
-        """Return the end of a lease renewed now, on the upstream's clock."""
-        return int(self.estimated_clock_ms(now) + self.limits.lease_s * 1000)
+    def lease_deadline_ms(self, now) -> int | None:
+        """Return the end of a lease renewed now, on the upstream's clock.
+
+        While a run is unclaimed the lease is shorter, see
+        `CellLimits.unclaimed_lease_s`; None if that time is over.
+        """
+        lease_s = self.limits.lease_s
+        if self.orphaned_run_count:
+            lease_s = min(lease_s, self.unclaimed_until() - now)
+        if lease_s <= 0:
+            return None
+        return int(self.estimated_clock_ms(now) + lease_s * 1000)
+
+    def unclaimed_until(self) -> float:
+        """Return the end of the leases for runs that are unclaimed and not stopped."""
+        adopted_at = (
+            run.started_at
+            for run in self.runs.values()
+            if run.job is None and run.phase != RunPhase.STOPPING
+        )
+        return min(adopted_at, default=math.inf) + self.limits.unclaimed_lease_s()
 
     def record_lease(self, deadline_ms):
         """Extend `leased_until` for an order that renews the lease and is to be sent.
