--- a/packages/daemon/carobramp_daemon/tests/test_idle_cost.py
+++ b/packages/daemon/carobramp_daemon/tests/test_idle_cost.py
@@ -1,7 +1,7 @@
 """Timers of an idle daemon.
 
-On a fleet of 97 machines the timers of idle links and entries took most of the
-processor time: a link of an entry woke it twice in each heartbeat interval.
+On a fleet of 97 machines an idle entry woke 300 times a second: each link woke it twice
+in each heartbeat interval, and ticks came without jobs.
 """
 
 import asyncio
