Log which runs are lost with their upstream and why

Change: the owner logs 'runs lost with their upstream' at a restart and at the end of a lease, with the run ids, the life of the upstream, the error of the last poll and the number of runs whose start was never confirmed. It replaces 'lease expired, its runs are over'.

--- a/packages/core/carobramp_core/cells/event_handlers.py
+++ b/packages/core/carobramp_core/cells/event_handlers.py
@@ -132,6 +132,7 @@
                 "upstream restarted", {**fields, "lives": upstream.incarnation_count}
             )
         )
+        log_lost_runs(upstream, "upstream restarted", effects)
         upstream.start_incarnation(outcome.born_ms, now)
         if upstream.runs:
             owner.request_listing(upstream, effects)
@@ -152,6 +153,22 @@
         )
 
 
+def log_lost_runs(upstream: Upstream, cause, effects):
+    """Log the runs that are lost with their upstream, and what is known of the loss."""
+    if not upstream.runs:
+        return
+    names = (f"{r.job_id}.{r.index}.{r.run}" for r in upstream.runs)
+    fields = {
+        "upstream": upstream.name,
+        "cause": cause,
+        "born_ms": upstream.born_ms,
+        "last_poll_error": upstream.last_poll_error,
+        "runs": " ".join(names),
+        "unconfirmed": sum(r.phase == RunPhase.UNKNOWN for r in upstream.runs.values()),
+    }
+    effects.append(LogEvent("runs lost with their upstream", fields))
+
+
 def record_end(end, upstream: Upstream, owner, now, effects):
     """Process one listed end of a run, unless an earlier listing contained it."""
     if end.number <= upstream.acknowledged:
@@ -260,6 +277,7 @@
 
 @on_poll_outcome.register
 def _(outcome: NoAnswer, upstream: Upstream, owner, event, now, effects):
+    upstream.last_poll_error = outcome.detail
     if not upstream.suspect and event.order.deadline_ms is not None:
         fields = {"upstream": upstream.name, "detail": outcome.detail}
         effects.append(LogEvent("upstream does not answer", fields))
@@ -380,8 +398,7 @@
 def _(event: OwnerTick, owner, now, effects):
     for upstream in list(owner.upstreams.values()):
         if upstream.suspect and upstream.runs and now > upstream.leased_until:
-            fields = {"upstream": upstream.name, "runs": len(upstream.runs)}
-            effects.append(LogEvent("lease expired, its runs are over", fields))
+            log_lost_runs(upstream, "lease expired", effects)
             for run in list(upstream.runs.values()):
                 owner.finish_run(run, TaskResult.LOST, now, effects)
         if is_gone(upstream, now):
--- a/packages/core/carobramp_core/cells/upstreams.py
+++ b/packages/core/carobramp_core/cells/upstreams.py
@@ -111,6 +111,8 @@
         self.acknowledged = 0
         self.answered = False
         self.suspect = True
+        # Error of the last poll that was not answered.
+        self.last_poll_error = ""
         self.missing_since: float | None = None
         self.runs: dict[RunId, Run] = {}
         # Number of runs whose job is unknown, as no entry has claimed them yet.
