--- a/packages/testing/carobramp_testing/builders/jobs.py
+++ b/packages/testing/carobramp_testing/builders/jobs.py
@@ -19,11 +19,14 @@
     return JobRequest(**(defaults | fields))
 
 
-def leased_job(tasks=4, run_ms=60, cpu=6800):
-    """Return the body of a job on the users' platform; its caller waits."""
+def leased_job(tasks=4, run_ms=60, cpu=6800, crash=False):
+    """Return the body of a job on the users' platform; its caller waits.
+
+    With `crash` each task crashes the upstream that starts it.
+    """
     return {
         "best_effort": True,
-        "spec": json.dumps({"cpu": cpu, "run_ms": run_ms}),
+        "spec": json.dumps({"cpu": cpu, "run_ms": run_ms, "crash": crash}),
         "steps": [
             {"count": tasks, "cpu": cpu, "mem_mb": 64, "estimate_ms": run_ms},
         ],
--- a/packages/testing/carobramp_testing/models/cell_world.py
+++ b/packages/testing/carobramp_testing/models/cell_world.py
@@ -33,14 +33,12 @@
     """
 
     limits = CellLimits()
+    steps = STEPS
 
     def __init__(self, faults):
         self.now = 0.0
         self.faults = faults
-        self.upstreams = [
-            SimulatedUpstream(name, cell)
-            for name, cell in (("i-1", "a"), ("i-2", "a"), ("i-3", "b"))
-        ]
+        self.upstreams = self.new_upstreams()
         self.links: list[Link] = []
         self.later: list = []
         self.resend_at: list[float] = []
@@ -58,6 +56,11 @@
         self.started = False
         self.outcomes: list = []
 
+    def new_upstreams(self) -> list[SimulatedUpstream]:
+        """Return the upstreams of both cells."""
+        names = (("i-1", "a"), ("i-2", "a"), ("i-3", "b"))
+        return [SimulatedUpstream(name, cell) for name, cell in names]
+
     def new_owner(self, cell, token, taken_over) -> CellOwner:
         """Return the decisions of an owner."""
         return CellOwner(cell, token, self.limits, self.now, taken_over)
@@ -94,7 +97,7 @@
 
     def run(self):
         """Run to the end; return this world."""
-        for step in range(STEPS):
+        for step in range(self.steps):
             self.now = step * STEP_S
             for at, kind in self.faults:
                 if at == step:
@@ -114,8 +117,7 @@
             self.entries[0].dispatch(JobReceived(JOB))
         for at in [at for at in self.resend_at if self.now >= at]:
             self.resend_at.remove(at)
-            if not self.entries[1].entry.jobs:
-                self.entries[1].dispatch(JobReceived(JOB))
+            self.resend()
         for party in [*self.owners, *self.entries]:
             if party.awake():
                 party.step()
@@ -124,6 +126,11 @@
             link.record_echo(self.now)
         self.replace_silent_owner()
 
+    def resend(self):
+        """Send the job again, to the second entry."""
+        if not self.entries[1].entry.jobs:
+            self.entries[1].dispatch(JobReceived(JOB))
+
     def carry_out_late(self):
         """Carry out the orders whose time has come."""
         due = [item for item in self.later if self.now >= item[0]]
--- a/packages/testing/carobramp_testing/standins/leased/platform.py
+++ b/packages/testing/carobramp_testing/standins/leased/platform.py
@@ -22,6 +22,11 @@
     return sizes["cpu"], sizes["run_ms"] / 1000
 
 
+def crashes_upstream(spec):
+    """Return whether a task with this spec crashes the upstream that starts it."""
+    return json.loads(spec).get("crash", False)
+
+
 class LeasedPlatform:
     """Store, workers and operator on loopback.
 
@@ -38,7 +43,8 @@
         for zone in self.zones:
             for number in range(workers):
                 name = f"i-{zone}-{number}"
-                self.workers[name] = Worker(name, SERVICE, zone, task_sizes)
+                worker = Worker(name, SERVICE, zone, task_sizes, crashes_upstream)
+                self.workers[name] = worker
         self.version = 0
         self.beats: asyncio.Task | None = None
 
@@ -64,8 +70,15 @@
         while True:
             await asyncio.sleep(HEARTBEAT_S)
             for worker in self.workers.values():
-                if not worker.faults.silent:
-                    await self.store.put(SERVERS, worker.name, worker.entry())
+                await self.report(worker)
+
+    async def report(self, worker: Worker):
+        """Write the entry of a worker; remove those of its crashed lives."""
+        for name in worker.crashed_names:
+            await self.store.remove(SERVERS, name)
+        worker.crashed_names.clear()
+        if worker.up and not worker.faults.silent:
+            await self.store.put(SERVERS, worker.name, worker.entry())
 
     async def configure(self, routes):
         """Write a new version of the desired state."""
--- a/packages/testing/carobramp_testing/standins/leased/worker.py
+++ b/packages/testing/carobramp_testing/standins/leased/worker.py
@@ -9,6 +9,9 @@
 
 HOLD_MAX_MS = 1000
 STOP_S = 0.02
+# Time from the start of a task that crashes its worker to the crash.
+CRASH_DELAY_S = 0.01
+CRASH_DOWN_S = 3.0
 BIRTHS = itertools.count(1_700_000_000_000)
 
 
@@ -58,13 +61,35 @@
     ==========
 
     task_sizes : returns cpu and run time in seconds of a task from its spec
+    crashes : returns whether a task crashes its worker, from its spec
+
+    Attributes
+    ==========
+
+    crashed_names : names of crashed lives whose entries are still in the store
+    crash_count : number of crashes
     """
 
-    def __init__(self, name, service, zone, task_sizes, cpu=16000, speed=1.0):
+    def __init__(
+        self,
+        name,
+        service,
+        zone,
+        task_sizes,
+        crashes=lambda spec: False,
+        cpu=16000,
+        speed=1.0,
+    ):
         self.name = name
         self.service = service
         self.zone = zone
         self.task_sizes = task_sizes
+        self.crashes = crashes
+        self.up = True
+        self.crash_count = 0
+        self.crashed_names: list[str] = []
+        self.restarting: asyncio.Task | None = None
+        self.machine = name
         self.cpu = cpu
         self.speed = speed
         self.state = "ready"
@@ -94,15 +119,36 @@
         app.router.add_post("/-/run-start", self.on_start)
         app.router.add_post("/-/run-stop", self.on_stop)
         app.router.add_post("/-/hold", self.on_hold)
-        self.runner = web.AppRunner(app, handler_cancellation=True)
+        self.runner = web.AppRunner(
+            app, handler_cancellation=True, shutdown_timeout=CRASH_DELAY_S
+        )
         await self.runner.setup()
         site = web.TCPSite(self.runner, "127.0.0.1", port)
         await site.start()
         self.address = f"127.0.0.1:{site._server.sockets[0].getsockname()[1]}"
         return self
 
+    async def crash_and_restart(self):
+        """Crash, and listen again under another name after a while."""
+        await asyncio.sleep(CRASH_DELAY_S)
+        self.crash_count += 1
+        self.up = False
+        await self.stop_serving()
+        self.crashed_names.append(self.name)
+        await asyncio.sleep(CRASH_DOWN_S)
+        self.reset()
+        self.name = f"{self.machine}-{self.crash_count}"
+        await self.start(int(self.address.rpartition(":")[2]))
+        self.up = True
+
     async def stop(self):
-        """Crash: everything ends, and nothing is listed."""
+        """Stop for good."""
+        if self.restarting is not None:
+            self.restarting.cancel()
+        await self.stop_serving()
+
+    async def stop_serving(self):
+        """End every run without listing it, and close all connections."""
         for task in list(self.running):
             self.end(task, "crashed", listed=False)
         if self.runner is not None:
@@ -201,6 +247,9 @@
         self.runs.append(run)
         self.running[task] = run
         self.arm(task, seconds / self.speed)
+        if self.crashes(body["spec"]) and self.up:
+            self.up = False
+            self.restarting = asyncio.create_task(self.crash_and_restart())
         return self.accept()
 
     def arm(self, task, seconds):
--- a/packages/testing/carobramp_testing/tests/test_leased.py
+++ b/packages/testing/carobramp_testing/tests/test_leased.py
@@ -12,6 +12,9 @@
 from carobramp_testing.standins.leased.platform import ROUTES
 
 COMPLETED = (HTTP_OK, {"state": "completed"})
+FAILED = (HTTP_OK, {"state": "failed"})
+# Upstreams that may crash under a task before it is given up.
+MAX_CRASHES = 2
 IN_FORCE_S = 2.0
 UNAVAILABLE = 503
 
@@ -172,3 +175,38 @@
         async with asyncio.timeout(2 * IN_FORCE_S):
             while (await self.submit(self.daemon(), "stamps"))[0] != HTTP_OK:
                 await asyncio.sleep(0.02)
+
+
+class CrashingTaskTests(LeasedCase):
+    """Tasks that crash each upstream that starts them."""
+
+    def crash_count(self):
+        """Return how many upstreams have crashed."""
+        return sum(worker.crash_count for worker in self.platform.workers.values())
+
+    async def test_task_crashes_one_upstream_after_another(self):
+        """Guards against a task that is started again until its caller gives up."""
+        answer = await self.submit(
+            self.daemon(), tasks=1, run_ms=1200, queue="files", crash=True
+        )
+        self.assertEqual(answer, FAILED)
+        self.assertLessEqual(self.crash_count(), MAX_CRASHES)
+
+    async def test_crashes_are_forgotten_by_the_next_entry(self):
+        """Guards against a count that a request to another daemon begins anew."""
+        body = leased_job(tasks=1, run_ms=1200, crash=True)
+        for daemon in self.deployment.daemons.values():
+            answer = await self.deployment.submit(daemon, "f" * 16, body, "files")
+        self.assertEqual(answer, FAILED)
+        self.assertLessEqual(self.crash_count(), MAX_CRASHES)
+
+    async def test_task_beside_a_crashing_one_completes(self):
+        """Guards against a task that is given up for the crashes of another one."""
+        innocent = asyncio.create_task(self.submit(self.daemon(), tasks=6, run_ms=900))
+        await wait_for(self.some_task_runs)
+        await self.submit(self.daemon("breda-0"), tasks=1, run_ms=900, crash=True)
+        self.assertEqual(await innocent, COMPLETED)
+
+    async def some_task_runs(self):
+        """Whether a task runs."""
+        return any(worker.running for worker in self.platform.workers.values())
