Give up a task after two upstreams have crashed under it

What callers saw: a job with a task that crashes upstreams got no answer until its caller gave up, up to 6.9 s (six starts on six upstreams); each start took an upstream away for 3 s and ended what ran beside it. Cause: a run that ends with its upstream was reported as lost, like a run that was stopped or never started, and lost runs are offered again without a count. What would have been counted was also bound to one owner and one request. Change: an owner records each upstream that is lost under a task (core/cells/losses.py) and sends the loss to all entries. Losses are identified by the number of the run, so that reports from several daemons count once (core/cells/crash_records.py). Offers carry the losses of their job, a new entry gets those of each owner, a new owner those of its daemon; resumed offers name where the task last ran, so that an upstream that was lost between two owners counts. After two crashes, or three losses without proof of a crash, the entry answers `failed` and the tasks of the job do not start again. A refused connection, another incarnation at the address or a new life count as crash. Counter runs_lost_with_upstream, log line "task given up after losses of upstreams". Why this works: every start needs an offer to an owner, and owner or entry know the losses whichever of them has died. What is left: all daemons lose power at once, and a takeover to another cell after the owner's zone was cut off counts nothing.

--- a/packages/core/carobramp_core/cells/entry.py
+++ b/packages/core/carobramp_core/cells/entry.py
@@ -12,6 +12,7 @@
 import dataclasses
 import functools
 
+from carobramp_core.cells.crash_records import CrashRecords
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import (
     CancelJob,
@@ -23,6 +24,7 @@
     NoResultReason,
     Offer,
     Outcome,
+    Placement,
     Refused,
     ReturnReason,
     TaskEnded,
@@ -31,6 +33,7 @@
     TasksStarted,
     ToEntry,
     ToOwner,
+    UpstreamLosses,
     UpstreamNames,
 )
 from carobramp_core.cells.orders import LogEvent
@@ -143,6 +146,7 @@
     failure_counts : number of failed runs by index of the task
     started : whether a task may have started
     unoffered_indexes : indexes of the tasks that wait for a link to an owner
+    placements : where each task was last started, while its run may be active
     """
 
     job: Job
@@ -155,12 +159,17 @@
     failure_counts: dict[int, int] = dataclasses.field(default_factory=dict)
     started: bool = False
     unoffered_indexes: set[int] = dataclasses.field(default_factory=set)
+    placements: dict[int, Placement] = dataclasses.field(default_factory=dict)
 
     def owner_wait_s(self):
         """Return the age up to which the job waits for a link to an owner."""
         objective_s = self.job.objective_s(self.job.estimate_ms)
         return OWNER_WAIT_FRACTION * objective_s
 
+    def placements_of(self, indexes) -> tuple[Placement, ...]:
+        """Return where tasks were last started, as far as known."""
+        return tuple(self.placements[i] for i in indexes if i in self.placements)
+
     def committed(self):
         """Return whether a task may have run or may still start."""
         return self.started or any(self.offered_by_cell.values())
@@ -201,6 +210,7 @@
         self.cells: dict[str, CellView] = {}
         # Names of the upstreams of each cell, as last sent by its owner.
         self.upstreams_by_cell: dict[str, tuple[str, ...]] = {}
+        self.crash_records = CrashRecords()
 
     def handle(self, event: EntryEvent, now: float) -> list[EntryEffect]:
         """Process an event at time `now` and return the effects to carry out."""
@@ -261,6 +271,8 @@
             open_job.committed(),
             open_job.avoid,
             members if resumed else (),
+            self.crash_records.losses_of(open_job.job.job_id),
+            open_job.placements_of(indexes) if resumed else (),
         )
         open_job.offered_by_cell.setdefault(cell, set()).update(indexes)
         effects.append(SendToOwner(cell, offer))
@@ -287,6 +299,25 @@
             outcome = Refused(reason, max(RETRY_AFTER_S, retry_after_s))
         self.end_job(open_job, outcome, now, effects)
 
+    def end_crashing_job(self, open_job: OpenJob, now, effects) -> bool:
+        """End a job with a task that crashes upstreams; return whether it has one."""
+        job_id = open_job.job.job_id
+        index = self.crash_records.given_up_task(job_id)
+        if index is None:
+            return False
+        losses = [
+            loss for loss in self.crash_records.losses_of(job_id) if loss.index == index
+        ]
+        fields = {
+            "job_id": job_id,
+            "index": index,
+            "losses": len(losses),
+            "crashes": sum(loss.crashed for loss in losses),
+        }
+        effects.append(LogEvent("task given up after losses of upstreams", fields))
+        self.end_job(open_job, Failed(), now, effects)
+        return True
+
     def end_job(self, open_job: OpenJob, outcome: Outcome, now, effects):
         """Answer the caller and cancel the job at the owners with offered tasks."""
         del self.jobs[open_job.job.job_id]
@@ -309,6 +340,8 @@
 def _(event: JobReceived, entry: Entry, now, effects):
     open_job = OpenJob(event.job, now)
     entry.jobs[event.job.job_id] = open_job
+    if entry.end_crashing_job(open_job, now, effects):
+        return
     entry.offer_tasks(open_job, set(range(event.job.tasks)), now, effects)
 
 
@@ -407,6 +440,16 @@
     open_job = entry.jobs.get(message.job_id)
     if open_job is not None:
         open_job.started = True
+        open_job.placements.update({p.index: p for p in message.placements})
+
+
+@on_message.register
+def _(message: UpstreamLosses, cell, entry: Entry, now, effects):
+    entry.crash_records.record(message.losses, now)
+    for job_id in {loss.job_id for loss in message.losses}:
+        open_job = entry.jobs.get(job_id)
+        if open_job is not None:
+            entry.end_crashing_job(open_job, now, effects)
 
 
 @on_message.register
@@ -441,6 +484,7 @@
         return
     open_job.started = True
     open_job.offered_by_cell.get(cell, set()).discard(message.index)
+    open_job.placements.pop(message.index, None)
     if message.result == TaskResult.DONE:
         open_job.done_indexes.add(message.index)
         if len(open_job.done_indexes) == open_job.job.tasks:
--- a/packages/core/carobramp_core/cells/event_handlers.py
+++ b/packages/core/carobramp_core/cells/event_handlers.py
@@ -7,6 +7,12 @@
 import functools
 
 from carobramp_core.cells.limits import CellLimits
+from carobramp_core.cells.losses import (
+    record_confirmed_crashes,
+    record_evidence,
+    record_expired_lease,
+    record_restart,
+)
 from carobramp_core.cells.messages import CancelJob, Offer, ReturnReason, TaskResult
 from carobramp_core.cells.orders import (
     Accepted,
@@ -123,8 +129,10 @@
         effects.append(LogEvent("upstream answers", fields))
     upstream.answered = True
     upstream.suspect = False
+    upstream.process_gone = False
     if not upstream.born_ms:
         upstream.born_ms = outcome.born_ms
+    record_confirmed_crashes(owner, upstream, outcome.born_ms, now, effects)
     if outcome.born_ms != upstream.born_ms:
         fields = {"upstream": upstream.name, "born_ms": outcome.born_ms}
         effects.append(
@@ -132,7 +140,7 @@
                 "upstream restarted", {**fields, "lives": upstream.incarnation_count}
             )
         )
-        log_lost_runs(upstream, "upstream restarted", effects)
+        record_restart(owner, upstream, now, effects)
         upstream.start_incarnation(outcome.born_ms, now)
         if upstream.runs:
             owner.request_listing(upstream, effects)
@@ -153,22 +161,6 @@
         )
 
 
-def log_lost_runs(upstream: Upstream, cause, effects):
-    """Log the runs that are lost with their upstream, and what is known of the loss."""
-    if not upstream.runs:
-        return
-    names = (f"{r.job_id}.{r.index}.{r.run}" for r in upstream.runs)
-    fields = {
-        "upstream": upstream.name,
-        "cause": cause,
-        "born_ms": upstream.born_ms,
-        "last_poll_error": upstream.last_poll_error,
-        "runs": " ".join(names),
-        "unconfirmed": sum(r.phase == RunPhase.UNKNOWN for r in upstream.runs.values()),
-    }
-    effects.append(LogEvent("runs lost with their upstream", fields))
-
-
 def record_end(end, upstream: Upstream, owner, now, effects):
     """Process one listed end of a run, unless an earlier listing contained it."""
     if end.number <= upstream.acknowledged:
@@ -278,6 +270,7 @@
 @on_poll_outcome.register
 def _(outcome: NoAnswer, upstream: Upstream, owner, event, now, effects):
     upstream.last_poll_error = outcome.detail
+    record_evidence(owner, upstream, outcome.refused, now, effects)
     if not upstream.suspect and event.order.deadline_ms is not None:
         fields = {"upstream": upstream.name, "detail": outcome.detail}
         effects.append(LogEvent("upstream does not answer", fields))
@@ -290,6 +283,8 @@
         on_fenced_order(event.order, owner, upstream, effects)
         return
     upstream.suspect = True
+    replaced = outcome.reason == RejectReason.OTHER_INCARNATION
+    record_evidence(owner, upstream, replaced, now, effects)
     fields = {"upstream": upstream.name, "refusal": outcome.reason}
     effects.append(LogEvent("upstream rejected a poll", fields))
 
@@ -398,7 +393,7 @@
 def _(event: OwnerTick, owner, now, effects):
     for upstream in list(owner.upstreams.values()):
         if upstream.suspect and upstream.runs and now > upstream.leased_until:
-            log_lost_runs(upstream, "lease expired", effects)
+            record_expired_lease(owner, upstream, now, effects)
             for run in list(upstream.runs.values()):
                 owner.finish_run(run, TaskResult.LOST, now, effects)
         if is_gone(upstream, now):
--- /dev/null
+++ b/packages/core/carobramp_core/cells/losses.py
@@ -0,0 +1,122 @@
+"""How an owner notices that an upstream was lost together with its runs.
+
+Explanation
+===========
+
+An upstream is lost when it has restarted, or when its lease has expired while it did
+not answer. It has certainly crashed if another incarnation answers, and most likely if
+nothing listens at its address; otherwise it may be behind a network partition. The
+owner sends each loss to all entries, which decide with `CrashRecords` whether a task is
+given up.
+"""
+
+import dataclasses
+from collections.abc import Iterable
+
+from carobramp_core.cells.messages import Offer, Placement, UpstreamLoss, UpstreamLosses
+from carobramp_core.cells.orders import LogEvent, SendToAllEntries
+from carobramp_core.cells.upstreams import RunPhase, Upstream
+
+
+def record_losses(owner, losses: Iterable[UpstreamLoss], now, effects):
+    """Record losses and send what is new to all entries.
+
+    Waiting tasks of a job that is given up are dropped; the entry ends the job.
+    """
+    records = owner.crash_records
+    new = records.record(losses, now)
+    if not new:
+        return
+    effects.append(SendToAllEntries(UpstreamLosses(new)))
+    job_ids = {loss.job_id for loss in new}
+    given_up = {job for job in job_ids if records.given_up_task(job) is not None}
+    owner.waiting = [w for w in owner.waiting if w.job.job_id not in given_up]
+
+
+def losses_of_runs(upstream: Upstream, crashed) -> tuple[UpstreamLoss, ...]:
+    """Return the loss of an upstream under each of its runs."""
+    return tuple(
+        UpstreamLoss(run_id.job_id, run_id.index, run_id.run, crashed)
+        for run_id in upstream.runs
+    )
+
+
+def record_restart(owner, upstream: Upstream, now, effects):
+    """Record that the incarnation with the present runs has crashed."""
+    log_lost_runs(upstream, "upstream restarted", effects)
+    record_losses(owner, losses_of_runs(upstream, crashed=True), now, effects)
+
+
+def record_expired_lease(owner, upstream: Upstream, now, effects):
+    """Record that the lease of an upstream without an answer has expired."""
+    log_lost_runs(upstream, "lease expired", effects)
+    losses = losses_of_runs(upstream, upstream.process_gone)
+    if not upstream.process_gone:
+        upstream.silent_losses += [(loss, upstream.born_ms) for loss in losses]
+    record_losses(owner, losses, now, effects)
+
+
+def record_evidence(owner, upstream: Upstream, process_gone, now, effects):
+    """Record whether a poll has shown that the upstream's incarnation is gone."""
+    upstream.process_gone = process_gone
+    if process_gone:
+        record_confirmed_crashes(owner, upstream, None, now, effects)
+
+
+def record_confirmed_crashes(owner, upstream: Upstream, born_ms, now, effects):
+    """Record which silent losses were crashes; the others were no crashes.
+
+    `born_ms` is the number of the incarnation that has answered, None for another
+    upstream or none at all.
+    """
+    losses, upstream.silent_losses = upstream.silent_losses, []
+    crashes = (
+        dataclasses.replace(loss, crashed=True)
+        for loss, lost_born_ms in losses
+        if lost_born_ms != born_ms
+    )
+    record_losses(owner, crashes, now, effects)
+
+
+def record_placement_losses(owner, offer: Offer, indexes, now, effects):
+    """Record the upstreams that were lost between an earlier owner and this one.
+
+    A resumed task whose run is over was lost with its upstream, unless the same
+    incarnation of the upstream has answered this owner.
+    """
+    losses = []
+    for placement in offer.placements:
+        upstream = owner.upstreams.get(placement.upstream)
+        if placement.index not in indexes or has_answered(upstream, placement):
+            continue
+        crashed = upstream is not None and (upstream.answered or upstream.process_gone)
+        loss = UpstreamLoss(offer.job.job_id, placement.index, placement.run, crashed)
+        losses.append(loss)
+        if upstream is not None and not crashed:
+            upstream.silent_losses.append((loss, placement.born_ms))
+    record_losses(owner, losses, now, effects)
+
+
+def has_answered(upstream: Upstream | None, placement: Placement) -> bool:
+    """Return whether the incarnation of a placement has answered this owner."""
+    return (
+        upstream is not None
+        and upstream.answered
+        and upstream.born_ms == placement.born_ms
+    )
+
+
+def log_lost_runs(upstream: Upstream, cause, effects):
+    """Log the runs that are lost with their upstream, and what is known of the loss."""
+    if not upstream.runs:
+        return
+    names = (f"{r.job_id}.{r.index}.{r.run}" for r in upstream.runs)
+    fields = {
+        "upstream": upstream.name,
+        "cause": cause,
+        "born_ms": upstream.born_ms,
+        "last_poll_error": upstream.last_poll_error,
+        "runs": " ".join(names),
+        "unconfirmed": sum(r.phase == RunPhase.UNKNOWN for r in upstream.runs.values()),
+    }
+    effects.append(LogEvent("runs lost with their upstream", fields))
--- a/packages/core/carobramp_core/cells/messages.py
+++ b/packages/core/carobramp_core/cells/messages.py
@@ -72,6 +72,41 @@
     LOST = "lost"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamLoss:
+    """The loss of an upstream on which a run of a task may have been active.
+
+    Parameters
+    ==========
+
+    run : number of the run
+    crashed : whether the upstream has crashed, by all evidence; otherwise it was silent
+        until its lease expired
+    """
+
+    job_id: str
+    index: int
+    run: int
+    crashed: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placement:
+    """Where a run of a task was started.
+
+    Parameters
+    ==========
+
+    run : number of the run
+    born_ms : number that differs between incarnations of the upstream
+    """
+
+    index: int
+    run: int
+    upstream: str
+    born_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Offer:
     """Tasks of a job that an entry offers to an owner.
@@ -88,6 +123,8 @@
         longer be refused
     avoid : upstreams on which tasks of the job have failed
     members : upstreams on which a resumed task may be running
+    losses : losses of upstreams under tasks of the job
+    placements : where the resumed tasks were last started, as far as known
     """
 
     job: Job
@@ -98,6 +135,8 @@
     committed: bool = False
     avoid: tuple[str, ...] = ()
     members: tuple[str, ...] = ()
+    losses: tuple[UpstreamLoss, ...] = ()
+    placements: tuple[Placement, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,6 +165,7 @@
 
     job_id: str
     indexes: tuple[int, ...]
+    placements: tuple[Placement, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -161,8 +201,22 @@
     names: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamLosses:
+    """Losses of upstreams that the owner knows; sent to all entries."""
+
+    losses: tuple[UpstreamLoss, ...]
+
+
 ToOwner = Offer | CancelJob
-ToEntry = TasksReturned | TasksStarted | TaskEnded | CapacityReport | UpstreamNames
+ToEntry = (
+    TasksReturned
+    | TasksStarted
+    | TaskEnded
+    | CapacityReport
+    | UpstreamNames
+    | UpstreamLosses
+)
 
 
 class NoResultReason(enum.StrEnum):
@@ -187,7 +241,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failed:
-    """A task has failed `Job.max_attempts` times."""
+    """A task has failed `Job.max_attempts` times or has crashed its upstreams."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/carobramp_core/cells/orders.py
+++ b/packages/core/carobramp_core/cells/orders.py
@@ -11,7 +11,7 @@
 import dataclasses
 import enum
 
-from carobramp_core.cells.messages import ToEntry, ToOwner
+from carobramp_core.cells.messages import ToEntry, ToOwner, UpstreamLosses
 
 
 class UpstreamState(enum.StrEnum):
@@ -157,9 +157,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NoAnswer:
-    """No usable answer was received; the order may take effect now, later or never."""
+    """No usable answer was received; the order may take effect now, later or never.
+
+    `refused` tells that the connection was refused, as nothing listens at the address.
+    """
 
     detail: str
+    refused: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -238,6 +242,13 @@
     message: ToEntry
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendToAllEntries:
+    """Effect that sends a message to every entry with a link to the owner."""
+
+    message: UpstreamLosses
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class OwnershipLost:
     """Effect that stops this owner: `upstream` has received a higher fencing token."""
@@ -263,5 +274,11 @@
     | OwnerTick
 )
 OwnerEffect = (
-    StartOrder | StopOrder | PollOrder | SendToEntry | OwnershipLost | LogEvent
+    StartOrder
+    | StopOrder
+    | PollOrder
+    | SendToEntry
+    | SendToAllEntries
+    | OwnershipLost
+    | LogEvent
 )
--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -10,17 +10,23 @@
 
 import dataclasses
 import functools
+from collections.abc import Iterable
 
+from carobramp_core.cells.crash_records import CrashRecords
 from carobramp_core.cells.event_handlers import on_event
 from carobramp_core.cells.limits import CellLimits
+from carobramp_core.cells.losses import record_placement_losses
 from carobramp_core.cells.messages import (
     CapacityReport,
     Offer,
+    Placement,
     ReturnReason,
     TaskEnded,
     TaskResult,
     TasksReturned,
     TasksStarted,
+    UpstreamLoss,
+    UpstreamLosses,
     UpstreamNames,
 )
 from carobramp_core.cells.orders import (
@@ -65,9 +71,18 @@
     token : fencing token of this owner, higher than those of earlier owners; orders
         carry a token derived from it, see `Upstream.fencing_token`
     taken_over : whether an earlier owner may have left runs behind
+    losses : losses of upstreams that the daemon of this owner knows
     """
 
-    def __init__(self, cell, token, limits: CellLimits, now, taken_over=True):
+    def __init__(
+        self,
+        cell,
+        token,
+        limits: CellLimits,
+        now,
+        taken_over=True,
+        losses: Iterable[UpstreamLoss] = (),
+    ):
         self.cell = cell
         self.token = token
         self.limits = limits
@@ -94,6 +109,8 @@
         # Estimators by queue.
         self.run_time_estimators: dict[str, RunTimeEstimator] = {}
         self.ownership_lost = False
+        self.crash_records = CrashRecords()
+        self.crash_records.record(losses, now)
 
     def handle(self, event: OwnerEvent, now: float) -> list[OwnerEffect]:
         """Process an event at time `now` and return the effects to carry out."""
@@ -140,7 +157,7 @@
         effects.append(self.poll_order(upstream, None, 0.0))
 
     def remove_upstream(self, upstream: Upstream, now, effects):
-        """Remove an upstream; its remaining runs count as lost."""
+        """Remove an upstream, whose remaining runs are over."""
         for run in list(upstream.runs.values()):
             self.finish_run(run, TaskResult.LOST, now, effects)
         self.upstreams.pop(upstream.name, None)
@@ -224,7 +241,8 @@
         if run.entry is None or run.job is None:
             self.results[key] = (result, run.upstream, now)
             return
-        if run.requeue and result == TaskResult.LOST:
+        given_up = self.crash_records.given_up_task(run.run_id.job_id) is not None
+        if run.requeue and result == TaskResult.LOST and not given_up:
             run.requeue = False
             self.enqueue_task(run.job, run.run_id.index, run.entry, run.received_at, ())
             return
@@ -289,7 +307,12 @@
         self.waiting = still_waiting
         for (entry, job_id), placed in started.items():
             indexes = tuple(task.index for task, _, _ in placed)
-            effects.append(SendToEntry(entry, TasksStarted(job_id, indexes)))
+            placements = tuple(
+                Placement(task.index, run_id.run, upstream.name, upstream.born_ms)
+                for task, upstream, run_id in placed
+            )
+            message = TasksStarted(job_id, indexes, placements)
+            effects.append(SendToEntry(entry, message))
             effects.append(self.placement_log_event(job_id, placed, now))
 
     def upstreams_with_free_cpu(self, now):
@@ -338,6 +361,7 @@
     def handle_offer(self, entry, offer: Offer, now, effects):
         """Queue, start or return the offered tasks, or attach them to earlier runs."""
         job = offer.job
+        self.crash_records.record(offer.losses, now)
         self.supersede_entry(entry, job.job_id, effects)
         self.entry_by_job[job.job_id] = entry
         received_at = now - offer.age_s
@@ -359,8 +383,17 @@
         self.admit_tasks(entry, offer, unstarted, received_at, now, effects)
 
     def admit_tasks(self, entry, offer: Offer, indexes, received_at, now, effects):
-        """Queue tasks of an offer; return those that must not wait here."""
+        """Queue tasks of an offer; return those that must not wait here.
+
+        A job with a task that is given up is not queued; the losses that are sent
+        instead let the entry end it.
+        """
         job = offer.job
+        record_placement_losses(self, offer, indexes, now, effects)
+        if self.crash_records.given_up_task(job.job_id) is not None:
+            losses = UpstreamLosses(self.crash_records.losses_of(job.job_id))
+            effects.append(SendToEntry(entry, losses))
+            return
         if self.upstreams_listed and not self.upstreams_by_service.get(job.service):
             reason = ReturnReason.NO_SERVICE
             effects.append(
--- a/packages/core/carobramp_core/cells/tests/support.py
+++ b/packages/core/carobramp_core/cells/tests/support.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from carobramp_core.cells.limits import CellLimits
-from carobramp_core.cells.messages import Job, Offer
+from carobramp_core.cells.messages import CancelJob, Job, Offer, UpstreamLoss
 from carobramp_core.cells.orders import (
     Accepted,
     ActiveRun,
@@ -52,6 +52,11 @@
     return Offer(item, **(defaults | fields))
 
 
+def loss(job_id="5c0e7a21d94b36f8", index=0, run=1, crashed=True) -> UpstreamLoss:
+    """Build the loss of an upstream under a task."""
+    return UpstreamLoss(job_id, index, run, crashed)
+
+
 def upstream(name="i-1", **fields) -> UpstreamRecord:
     """Build an entry of the list of upstreams."""
     defaults: dict[str, Any] = {
@@ -72,9 +77,11 @@
     Its methods return the effects of the event that they give to the owner.
     """
 
-    def __init__(self, *upstreams: UpstreamRecord, taken_over=False, now=100.0):
+    def __init__(
+        self, *upstreams: UpstreamRecord, taken_over=False, now=100.0, losses=()
+    ):
         self.now = now
-        self.owner = CellOwner("tilburg", 3, LIMITS, now, taken_over)
+        self.owner = CellOwner("tilburg", 3, LIMITS, now, taken_over, losses)
         self.clocks = {item.name: 5000 for item in upstreams}
         self.handle(UpstreamsListed(tuple(upstreams)))
 
@@ -90,15 +97,19 @@
         requested_at = self.now if sent_at is None else sent_at
         return self.handle(PollAnswered(order, listing, requested_at))
 
-    def fail_poll(self, name="i-1"):
+    def fail_poll(self, name="i-1", refused=False):
         """Leave the next poll of an upstream unanswered."""
         order = self.owner.next_poll(name, self.now)
-        return self.handle(PollAnswered(order, NoAnswer("silent"), self.now))
+        return self.handle(PollAnswered(order, NoAnswer("silent", refused), self.now))
 
     def offer(self, item: Job, entry="front-1", **fields):
         """Let an entry offer all tasks of a job."""
         return self.handle(EntryMessageReceived(entry, offer(item, **fields)))
 
+    def cancel(self, job_id, entry="front-1"):
+        """Let an entry cancel a job."""
+        return self.handle(EntryMessageReceived(entry, CancelJob(job_id)))
+
     def accept(self, order: StartOrder):
         """Let an upstream accept a start order."""
         return self.handle(StartAnswered(order, Accepted(6000), self.now))
--- /dev/null
+++ b/packages/core/carobramp_core/cells/tests/test_losses.py
@@ -0,0 +1,222 @@
+"""Tests of how owners and entries count the upstreams that are lost under a task."""
+
+import unittest
+
+from carobramp_core.cells.crash_records import (
+    MAX_CRASHES,
+    MAX_JOBS,
+    RETENTION_S,
+    CrashRecords,
+)
+from carobramp_core.cells.entry import (
+    AnswerCaller,
+    Entry,
+    JobReceived,
+    OwnerLinkClosed,
+    OwnerLinkOpened,
+    OwnerMessageReceived,
+    SendToOwner,
+)
+from carobramp_core.cells.messages import (
+    CancelJob,
+    Failed,
+    Offer,
+    Placement,
+    TasksStarted,
+    UpstreamLosses,
+)
+from carobramp_core.cells.orders import ActiveRun, RunId, SendToAllEntries
+from carobramp_core.cells.tests.support import (
+    LIMITS,
+    OwnerHarness,
+    job,
+    loss,
+    messages,
+    starts,
+    upstream,
+)
+
+JOB_ID = "5c0e7a21d94b36f8"
+LEASE_OVER_S = LIMITS.lease_expiry_s() + LIMITS.tick_s
+
+
+def losses(effects):
+    """Return the losses that effects send to all entries."""
+    sent = [e.message for e in effects if isinstance(e, SendToAllEntries)]
+    return [loss for message in sent for loss in message.losses]
+
+
+class EvidenceTests(unittest.TestCase):
+    """A run on an upstream that no longer answers."""
+
+    def setUp(self):
+        """Start a task."""
+        self.harness = OwnerHarness(upstream(), upstream("i-2"))
+        self.harness.answer_poll()
+        (self.order,) = starts(self.harness.offer(job()))
+        self.harness.accept(self.order)
+
+    def lose_upstream(self, refused):
+        """Leave polls unanswered until the lease is over."""
+        self.harness.fail_poll(refused=refused)
+        return self.harness.tick(LEASE_OVER_S)
+
+    def test_refused_connection_counts_as_crash(self):
+        """Guards against crashes that count only when the upstream is back."""
+        (lost,) = losses(self.lose_upstream(refused=True))
+        self.assertEqual(lost, loss(run=self.order.run_id.run))
+
+    def test_silence_counts_as_crash_once_another_incarnation_answers(self):
+        """Guards against crashes of a whole machine that count as partitions."""
+        (lost,) = losses(self.lose_upstream(refused=False))
+        self.assertFalse(lost.crashed)
+        (lost,) = losses(self.harness.answer_poll(born_ms=2))
+        self.assertTrue(lost.crashed)
+
+    def test_partition_is_no_crash(self):
+        """Guards against a task that is given up for partitions of its upstreams."""
+        self.lose_upstream(refused=False)
+        self.assertEqual(losses(self.harness.answer_poll(born_ms=1)), [])
+
+    def test_cancelled_run_counts(self):
+        """Guards against crashes that are forgotten with the job's cancellation."""
+        self.harness.cancel(JOB_ID)
+        (lost,) = losses(self.lose_upstream(refused=True))
+        self.assertEqual(lost.run, self.order.run_id.run)
+
+    def test_restart_counts_for_each_run(self):
+        """Guards against an upstream that is back before its lease is over."""
+        (lost,) = losses(self.harness.answer_poll(born_ms=2))
+        self.assertTrue(lost.crashed)
+
+
+class OwnerTests(unittest.TestCase):
+    """Tasks with losses that reach an owner."""
+
+    def test_unanswered_start_is_not_repeated_after_the_last_crash(self):
+        """Guards against crashes that an owner repeats without telling the entry."""
+        harness = OwnerHarness(upstream(), upstream("i-2"))
+        harness.answer_poll()
+        (order,) = starts(harness.offer(job(), losses=[loss(run=1)]))
+        harness.lose_start(order)
+        harness.answer_poll("i-2")
+        harness.fail_poll(refused=True)
+        harness.now += LEASE_OVER_S
+        effects = [*harness.answer_poll("i-2"), *harness.tick()]
+        self.assertEqual(starts(effects), [])
+        self.assertEqual(len(losses(effects)), 1)
+
+    def test_offer_of_an_entry_that_does_not_know_the_losses(self):
+        """Guards against a restarted entry whose job crashes more upstreams."""
+        known = [loss(run=number) for number in range(MAX_CRASHES)]
+        harness = OwnerHarness(upstream(), losses=known)
+        harness.answer_poll()
+        effects = harness.offer(job())
+        self.assertEqual(starts(effects), [])
+        (message,) = messages(effects, UpstreamLosses)
+        self.assertEqual(list(message.losses), known)
+
+    def test_waiting_task_is_dropped_when_its_crashes_are_confirmed(self):
+        """Guards against a start in the event that gives the task up."""
+        harness = OwnerHarness(upstream(), upstream("i-2"))
+        harness.answer_poll()
+        (order,) = starts(harness.offer(job(), losses=[loss(run=1)]))
+        harness.accept(order)
+        harness.fail_poll(refused=False)
+        harness.tick(LEASE_OVER_S)
+        harness.offer(job())
+        self.assertEqual(starts(harness.answer_poll(born_ms=2)), [])
+
+
+class TakeoverTests(unittest.TestCase):
+    """A resumed task, whose upstream was lost before its new owner polled it."""
+
+    def resume(self, born_ms):
+        """Offer a task that ran in the first life of an upstream."""
+        harness = OwnerHarness(upstream(), taken_over=True)
+        placement = Placement(0, 7, "i-1", 1)
+        harness.offer(job(), resumed=True, members=("i-1",), placements=[placement])
+        return harness.answer_poll(born_ms=born_ms)
+
+    def test_restarted_upstream_counts(self):
+        """Guards against crashes that are forgotten with the owner."""
+        self.assertEqual(losses(self.resume(born_ms=2)), [loss(run=7)])
+
+    def test_same_incarnation_does_not_count(self):
+        """Guards against losses that a takeover invents."""
+        self.assertEqual(losses(self.resume(born_ms=1)), [])
+
+    def test_adopted_run_does_not_count(self):
+        """Guards against losses of runs that go on."""
+        harness = OwnerHarness(upstream(), taken_over=True)
+        harness.answer_poll(running=[ActiveRun(RunId(JOB_ID, 0, 7), 10)])
+        placement = Placement(0, 7, "i-1", 1)
+        effects = harness.offer(job(), resumed=True, placements=[placement])
+        self.assertEqual(losses(effects), [])
+
+
+class EntryTests(unittest.TestCase):
+    """An entry that learns of losses."""
+
+    def setUp(self):
+        """Open a link to one owner."""
+        self.entry = Entry("tilburg", LIMITS)
+        self.entry.handle(OwnerLinkOpened("tilburg", 1), 0.0)
+
+    def receive(self, message, cell="tilburg"):
+        """Let the entry handle a message of an owner."""
+        return self.entry.handle(OwnerMessageReceived(cell, message), 0.0)
+
+    def give_up(self):
+        """Report enough crashes to give the task up."""
+        crashes = tuple(loss(run=number) for number in range(MAX_CRASHES))
+        return self.receive(UpstreamLosses(crashes))
+
+    def test_open_job_fails_and_is_cancelled(self):
+        """Guards against other tasks that run on for a job without a result."""
+        self.entry.handle(JobReceived(job(tasks=2)), 0.0)
+        effects = self.give_up()
+        sent = [e.message for e in effects if isinstance(e, SendToOwner)]
+        (answer,) = [e for e in effects if isinstance(e, AnswerCaller)]
+        self.assertEqual(sent, [CancelJob(JOB_ID)])
+        self.assertEqual(answer.outcome, Failed())
+
+    def test_job_that_is_sent_again_fails_at_once(self):
+        """Guards against crashes that are forgotten with the request."""
+        self.give_up()
+        (answer,) = self.entry.handle(JobReceived(job()), 0.0)[-1:]
+        self.assertEqual(answer.outcome, Failed())
+
+    def test_resumed_offer_names_the_last_placement(self):
+        """Guards against a new owner that does not know where the task has run."""
+        self.entry.handle(JobReceived(job()), 0.0)
+        placement = Placement(0, 7, "i-1", 1)
+        self.receive(TasksStarted(JOB_ID, (0,), (placement,)))
+        self.entry.handle(OwnerLinkClosed("tilburg", 0.0), 0.0)
+        effects = self.entry.handle(OwnerLinkOpened("tilburg", 2), 0.5)
+        (offer,) = [e.message for e in effects if isinstance(e, SendToOwner)]
+        self.assertIsInstance(offer, Offer)
+        self.assertEqual(offer.placements, (placement,))
+
+
+class CrashRecordsTests(unittest.TestCase):
+    """Records of losses."""
+
+    def test_records_are_bounded_in_time_and_number(self):
+        """Guards against memory that grows with each crash."""
+        records = CrashRecords()
+        for number in range(MAX_JOBS + 1):
+            records.record([loss(f"{number:016x}")], 0.0)
+        self.assertEqual(len(records.jobs), MAX_JOBS)
+        records.record([loss("f" * 16)], RETENTION_S)
+        self.assertEqual(list(records.jobs), ["f" * 16])
+
+    def test_loss_of_a_sibling_does_not_count(self):
+        """Guards against a wide job that fails for one crash under each task."""
+        records = CrashRecords()
+        records.record([loss(index=0), loss(index=1, run=2)], 0.0)
+        self.assertIsNone(records.given_up_task(JOB_ID))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/core/carobramp_core/cells/upstreams.py
+++ b/packages/core/carobramp_core/cells/upstreams.py
@@ -4,7 +4,7 @@
 import math
 
 from carobramp_core.cells.limits import CLOCK_DRIFT, CLOCK_ROUNDING_S, CellLimits
-from carobramp_core.cells.messages import Job
+from carobramp_core.cells.messages import Job, UpstreamLoss
 from carobramp_core.cells.orders import RunId, UpstreamRecord, UpstreamState
 
 # Consecutive failures of distinct jobs after which an upstream is quarantined. A job
@@ -113,6 +113,11 @@
         self.suspect = True
         # Error of the last poll that was not answered.
         self.last_poll_error = ""
+        # Whether the last poll showed that this incarnation is gone.
+        self.process_gone = False
+        # Losses of runs here that may turn out to be crashes, each with the number of
+        # the incarnation that had the run.
+        self.silent_losses: list[tuple[UpstreamLoss, int]] = []
         self.missing_since: float | None = None
         self.runs: dict[RunId, Run] = {}
         # Number of runs whose job is unknown, as no entry has claimed them yet.
--- a/packages/daemon/carobramp_daemon/cells/coordinator.py
+++ b/packages/daemon/carobramp_daemon/cells/coordinator.py
@@ -372,7 +372,8 @@
 
     def start_owning(self, state: CellState, token, taken_over):
         """Start the owner service of a cell and link the entry of this daemon to it."""
-        owner = CellOwner(state.name, token, self.limits, now(), taken_over)
+        losses = self.entry_service.entry.crash_records.all_losses()
+        owner = CellOwner(state.name, token, self.limits, now(), taken_over, losses)
         service = OwnerService(
             owner,
             self.orders,
--- a/packages/daemon/carobramp_daemon/cells/frames.py
+++ b/packages/daemon/carobramp_daemon/cells/frames.py
@@ -10,11 +10,14 @@
     CapacityReport,
     Job,
     Offer,
+    Placement,
     ReturnReason,
     TaskEnded,
     TaskResult,
     TasksReturned,
     TasksStarted,
+    UpstreamLoss,
+    UpstreamLosses,
     UpstreamNames,
 )
 from carobramp_core.cells.orders import UpstreamRecord, UpstreamState
@@ -55,6 +58,8 @@
         committed=message.committed,
         avoid=message.avoid,
         members=message.members,
+        losses=map(encode_loss, message.losses),
+        placements=map(encode_placement, message.placements),
     )
     return pb.Frame(offer=offer)
 
@@ -77,7 +82,12 @@
 
 @encode.register
 def _(message: TasksStarted):
-    return pb.Frame(started=pb.Started(job_id=message.job_id, indexes=message.indexes))
+    started = pb.Started(
+        job_id=message.job_id,
+        indexes=message.indexes,
+        placements=map(encode_placement, message.placements),
+    )
+    return pb.Frame(started=started)
 
 
 @encode.register
@@ -96,6 +106,12 @@
     return pb.Frame(members=pb.Members(names=message.names))
 
 
+@encode.register
+def _(message: UpstreamLosses):
+    losses = pb.UpstreamLosses(losses=map(encode_loss, message.losses))
+    return pb.Frame(upstream_losses=losses)
+
+
 @encode.register
 def _(message: CapacityReport):
     report = pb.Room(
@@ -121,6 +137,35 @@
     return pb.Frame(deputy=deputy)
 
 
+def encode_loss(loss: UpstreamLoss) -> pb.UpstreamLoss:
+    """Return the protobuf message that describes the loss of an upstream."""
+    return pb.UpstreamLoss(
+        job_id=loss.job_id, index=loss.index, run=loss.run, crashed=loss.crashed
+    )
+
+
+def decode_losses(losses) -> tuple[UpstreamLoss, ...]:
+    """Return the losses of upstreams in a field of a frame."""
+    return tuple(
+        UpstreamLoss(loss.job_id, loss.index, loss.run, loss.crashed) for loss in losses
+    )
+
+
+def encode_placement(placement: Placement) -> pb.Placement:
+    """Return the protobuf message that says where a task was started."""
+    return pb.Placement(
+        index=placement.index,
+        run=placement.run,
+        upstream=placement.upstream,
+        born_ms=placement.born_ms,
+    )
+
+
+def decode_placements(placements) -> tuple[Placement, ...]:
+    """Return the placements in a field of a frame."""
+    return tuple(Placement(p.index, p.run, p.upstream, p.born_ms) for p in placements)
+
+
 def decode_offer(offer: pb.Offer) -> Offer:
     """Return the offer in the body of a frame, with its job."""
     job = Job(**{name: getattr(offer, name) for name in JOB_FIELDS})
@@ -133,6 +178,8 @@
         offer.committed,
         tuple(offer.avoid),
         tuple(offer.members),
+        decode_losses(offer.losses),
+        decode_placements(offer.placements),
     )
 
 
@@ -146,6 +193,13 @@
     )
 
 
+def decode_tasks_started(started: pb.Started) -> TasksStarted:
+    """Return the message in a frame body."""
+    return TasksStarted(
+        started.job_id, tuple(started.indexes), decode_placements(started.placements)
+    )
+
+
 def decode_task_ended(ended: pb.TaskEnded) -> TaskEnded:
     """Return the message in a frame body; an unknown result raises `ValueError`."""
     result = TaskResult(ended.result)
@@ -191,11 +245,12 @@
     "offer": decode_offer,
     "cancel": lambda cancel: CancelJob(cancel.job_id),
     "returned": decode_tasks_returned,
-    "started": lambda started: TasksStarted(started.job_id, tuple(started.indexes)),
+    "started": decode_tasks_started,
     "task_ended": decode_task_ended,
     "room": decode_capacity_report,
     "deputy": decode_deputy,
     "members": lambda members: UpstreamNames(tuple(members.names)),
+    "upstream_losses": lambda body: UpstreamLosses(decode_losses(body.losses)),
 }
 
 
--- a/packages/daemon/carobramp_daemon/cells/owner.py
+++ b/packages/daemon/carobramp_daemon/cells/owner.py
@@ -8,6 +8,7 @@
 
 from carobramp_core.cells.claims import Deputy, choose_deputy, deputy_token
 from carobramp_core.cells.limits import CellLimits
+from carobramp_core.cells.messages import UpstreamLosses
 from carobramp_core.cells.orders import (
     EntryLinkClosed,
     EntryMessageReceived,
@@ -20,6 +21,7 @@
     OwnerTick,
     PollAnswered,
     PollOrder,
+    SendToAllEntries,
     SendToEntry,
     StartAnswered,
     StartOrder,
@@ -92,6 +94,9 @@
         self.links[entry] = link
         link.send(self.owner.capacity_report(now()))
         link.send(self.owner.upstream_names())
+        losses = self.owner.crash_records.all_losses()
+        if losses:
+            link.send(UpstreamLosses(losses))
         self.send_deputy(entry, link)
 
     def name_deputy(self, vms):
@@ -160,11 +165,21 @@
             link = self.links.get(effect.entry)
             if link is not None:
                 link.send(effect.message)
+        elif isinstance(effect, SendToAllEntries):
+            self.send_losses(effect.message)
         elif isinstance(effect, LogEvent):
             self.event_log.info(effect.message, cell=self.owner.cell, **effect.fields)
         elif isinstance(effect, OwnershipLost):
             self.on_ownership_lost(self, effect.upstream)
 
+    def send_losses(self, message: UpstreamLosses):
+        """Count losses of upstreams and send them to all entries."""
+        for loss in message.losses:
+            kind = "crashed" if loss.crashed else "silent"
+            self.metrics.increment("runs_lost_with_upstream", kind)
+        for link in list(self.links.values()):
+            link.send(message)
+
     def spawn(self, coroutine):
         """Run a call in a task that is cancelled when this service stops."""
         call = spawn(self, coroutine)
--- a/packages/daemon/carobramp_daemon/metrics.py
+++ b/packages/daemon/carobramp_daemon/metrics.py
@@ -19,6 +19,7 @@
     "peer_bytes": "Bytes between entry VMs by call.",
     "task_stops": "Orders to stop a run, by outcome.",
     "holds": "Renewals of leases by outcome.",
+    "runs_lost_with_upstream": "Runs that ended with their upstream, by evidence.",
     "log_lines_dropped": "Log lines beyond the rate or for a reader that is slow.",
     "claims_dropped": "Takeovers that were considered and dropped, by reason.",
     "takeovers": "Cells that this daemon came to own, by cell.",
--- a/packages/testing/carobramp_testing/models/cell_parties.py
+++ b/packages/testing/carobramp_testing/models/cell_parties.py
@@ -9,6 +9,7 @@
     OwnerMessageReceived,
     SendToOwner,
 )
+from carobramp_core.cells.messages import UpstreamLosses
 from carobramp_core.cells.orders import (
     EntryLinkClosed,
     EntryMessageReceived,
@@ -17,6 +18,7 @@
     OwnerTick,
     PollAnswered,
     PollOrder,
+    SendToAllEntries,
     SendToEntry,
     StartAnswered,
     StartOrder,
@@ -97,6 +99,7 @@
         """Take the link of an entry."""
         self.links[link.name] = link
         link.send(self, self.owner.upstream_names())
+        link.send(self, UpstreamLosses(self.owner.crash_records.all_losses()))
 
     def step(self):
         """Take messages, hold the upstreams, and let time pass."""
@@ -111,7 +114,8 @@
                 self.dispatch(EntryLinkClosed(name))
         waiting, self.unanswered = self.unanswered, []
         for order, sent_at in waiting:
-            self.answered(order, NoAnswer("no answer"), sent_at)
+            refused = self.upstreams[order.upstream].refuses_connections
+            self.answered(order, NoAnswer("no answer", refused), sent_at)
         for name in self.upstreams:
             hold = self.owner.next_poll(name, now)
             if hold is not None:
@@ -151,6 +155,9 @@
                 self.order(effect)
             elif isinstance(effect, SendToEntry) and effect.entry in self.links:
                 self.links[effect.entry].send(self, effect.message)
+            elif isinstance(effect, SendToAllEntries):
+                for link in self.links.values():
+                    link.send(self, effect.message)
             elif isinstance(effect, OwnershipLost):
                 self.end()
 
--- a/packages/testing/carobramp_testing/models/cell_upstreams.py
+++ b/packages/testing/carobramp_testing/models/cell_upstreams.py
@@ -57,6 +57,8 @@
         self.name = name
         self.fences = True
         self.reachable = True
+        # Whether orders to an unreachable upstream fail because nothing listens there.
+        self.refuses_connections = False
         self.lives = 0
         self.restart(0.0)
 
--- a/packages/testing/carobramp_testing/models/crashing_tasks.py
+++ b/packages/testing/carobramp_testing/models/crashing_tasks.py
@@ -45,6 +45,12 @@
 class CrashingWorld(World):
     """World with more upstreams, each of which crashes when it starts the task.
 
+    Parameters
+    ==========
+
+    silent : whether a crashed upstream leaves orders unanswered, as behind a cut,
+        instead of refusing connections
+
     Attributes
     ==========
 
@@ -53,7 +59,8 @@
 
     steps = 90
 
-    def __init__(self, faults):
+    def __init__(self, faults, silent=False):
+        self.silent_crashes = silent
         self.crash_count = 0
         super().__init__(faults)
 
@@ -69,10 +76,12 @@
         """Take an upstream down for some seconds."""
         self.crash_count += 1
         upstream.reachable = False
+        upstream.refuses_connections = not self.silent_crashes
 
         def restore():
             upstream.restart(self.now)
             upstream.reachable = True
+            upstream.refuses_connections = False
 
         self.restored.append((self.now + DOWN_S, restore))
 
--- a/packages/testing/carobramp_testing/models/tests/test_crashing_tasks.py
+++ b/packages/testing/carobramp_testing/models/tests/test_crashing_tasks.py
@@ -3,12 +3,12 @@
 import itertools
 import unittest
 
+from carobramp_core.cells.crash_records import MAX_CRASHES, MAX_LOSSES
 from carobramp_core.cells.messages import Failed
 from carobramp_testing.models.crashing_tasks import CrashingWorld
 
 # The platform allows two more starts after three upstreams have crashed under a task.
 MAX_CRASHES_UNDER_FAULTS = 5
-MAX_CRASHES = 2
 FAULTS = (
     "take_over",
     "kill_owner",
@@ -31,6 +31,12 @@
         self.assertLessEqual(world.crash_count, MAX_CRASHES)
         self.assertIsInstance(world.outcomes[-1], Failed)
 
+    def test_task_crashes_upstreams_that_turn_silent(self):
+        """Guards against crashes that are taken for network partitions."""
+        world = CrashingWorld((), silent=True).run()
+        self.assertLessEqual(world.crash_count, MAX_LOSSES)
+        self.assertIsInstance(world.outcomes[-1], Failed)
+
     def test_crashes_are_forgotten_with_an_owner_or_an_entry(self):
         """Guards against a count that a takeover or another request begins anew."""
         singles = itertools.product(AT_STEPS, FAULTS)
