Run tasks alone under which an upstream has crashed

What callers saw: a crash counts against every task that was running on the upstream, and a crashing task that starts again beside others takes those along. Cause: placement packs tasks by speed and free cores alone. Change: a task under which an upstream was lost starts on an idle upstream, and nothing starts beside it. If none is idle, the one with the fewest cores in use takes no less urgent task until it is. Adopted runs of such tasks are isolated too. Evidence: the five tests of test_losses.IsolationTests fail before (0 passed, 5 failed) and pass after; 93 passed in carobramp_core.cells. Why this works: with one task on the upstream, the second crash names its cause and ends nothing else.

--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -41,6 +41,7 @@
 )
 from carobramp_core.cells.placement import (
     WaitingTask,
+    choose_idle_upstream,
     choose_upstream,
     ends_too_late,
     has_free_cpu,
@@ -296,11 +297,23 @@
             if not candidates or position >= PLACED_PER_PASS:
                 still_waiting.append(task)
                 continue
-            upstream = choose_upstream(task, candidates, top_speeds[service], now)
+            top_speed = top_speeds[service]
+            alone = self.crash_records.is_suspect(task.job.job_id, task.index)
+            if alone:
+                upstream, reserved = choose_idle_upstream(
+                    task, candidates, top_speed, now
+                )
+                candidates_by_service[service] = [
+                    u for u in candidates if u is not reserved
+                ]
+            else:
+                upstream = choose_upstream(task, candidates, top_speed, now)
             if upstream is None:
                 still_waiting.append(task)
                 continue
             run_id = self.start_task(task, upstream, now, effects)
+            if alone:
+                upstream.isolated_runs.add(run_id)
             started.setdefault((task.entry, task.job.job_id), []).append(
                 (task, upstream, run_id)
             )
@@ -477,6 +490,8 @@
                     / MS_PER_S
                 )
             upstream.claim_run(run, job, entry)
+            if self.crash_records.is_suspect(job.job_id, index):
+                upstream.isolated_runs.add(run.run_id)
             run.received_at = received_at
             run.requeue = run.phase in (RunPhase.STOPPING, RunPhase.UNKNOWN)
             return True
--- a/packages/core/carobramp_core/cells/placement.py
+++ b/packages/core/carobramp_core/cells/placement.py
@@ -104,6 +104,27 @@
     return None if fastest_meets_it else best
 
 
+def choose_idle_upstream(
+    task: WaitingTask, upstreams, top_speed: Callable[[], float], now: float
+) -> tuple[Upstream | None, Upstream | None]:
+    """Return where a task that has to run alone starts, and what is reserved for it.
+
+    The first is the upstream on which the task starts now, or None. The second takes no
+    less urgent task now: the same upstream, or the one with the fewest cores in use if
+    none is idle, so that it gets idle; None if the task waits for another reason.
+    """
+    idle = [upstream for upstream in upstreams if not upstream.runs]
+    if idle:
+        chosen = choose_upstream(task, idle, top_speed, now)
+        return chosen, chosen
+    fitting = [
+        upstream
+        for upstream in upstreams
+        if upstream.record.cpu >= task.job.cpu and upstream.name not in task.avoid
+    ]
+    return None, min(fitting, key=lambda item: item.used_cpu, default=None)
+
+
 def queueing_delay_s(waiting, total_cpu) -> float:
     """Return the expected time in seconds until a task behind `waiting` ones starts.
 
--- a/packages/core/carobramp_core/cells/tests/test_losses.py
+++ b/packages/core/carobramp_core/cells/tests/test_losses.py
@@ -29,6 +29,7 @@
 from carobramp_core.cells.tests.support import (
     LIMITS,
     OwnerHarness,
+    ended,
     job,
     loss,
     messages,
@@ -128,6 +129,62 @@
         self.assertEqual(starts(harness.answer_poll(born_ms=2)), [])
 
 
+class IsolationTests(unittest.TestCase):
+    """Tasks under which one upstream has crashed."""
+
+    def setUp(self):
+        """Poll an upstream with room for two tasks."""
+        self.harness = OwnerHarness(upstream())
+        self.harness.answer_poll()
+
+    def offer(self, job_id, **fields):
+        """Offer a job of one task and return the start orders."""
+        return starts(self.harness.offer(job(job_id, target_ms=5000), **fields))
+
+    def offer_suspect(self, job_id):
+        """Offer a task under which an upstream has crashed."""
+        return self.offer(job_id, losses=[loss(job_id)])
+
+    def end(self, order):
+        """Let a run end and return the start orders."""
+        return starts(self.harness.answer_poll(ended=[ended(order)]))
+
+    def test_two_suspects_do_not_share_an_upstream(self):
+        """Guards against a task that is given up for the crashes of its neighbour."""
+        (first,) = self.offer_suspect("a" * 16)
+        self.assertEqual(self.offer_suspect("b" * 16), [])
+        (second,) = self.end(first)
+        self.assertEqual(second.run_id.job_id, "b" * 16)
+
+    def test_nothing_starts_beside_a_suspect(self):
+        """Guards against tasks that end with the second upstream of a crashing one."""
+        self.offer_suspect("a" * 16)
+        self.assertEqual(self.offer("b" * 16), [])
+
+    def test_suspect_waits_until_an_upstream_is_idle(self):
+        """Guards against the crash of an upstream that runs other tasks."""
+        (other,) = self.offer("a" * 16)
+        self.assertEqual(self.offer_suspect("b" * 16), [])
+        (start,) = self.end(other)
+        self.assertEqual(start.run_id.job_id, "b" * 16)
+
+    def test_suspect_is_not_overtaken_without_end(self):
+        """Guards against a suspect that waits for an upstream that never gets idle."""
+        (first,) = self.offer("a" * 16)
+        self.offer_suspect("b" * 16)
+        self.harness.now += 0.1
+        self.assertEqual(self.offer("c" * 16), [])
+        (start,) = self.end(first)
+        self.assertEqual(start.run_id.job_id, "b" * 16)
+
+    def test_adopted_suspect_stays_alone(self):
+        """Guards against neighbours that a takeover gives to a suspect."""
+        harness = OwnerHarness(upstream(), taken_over=True)
+        harness.answer_poll(running=[ActiveRun(RunId(JOB_ID, 0, 7), 10)])
+        harness.offer(job(), resumed=True, losses=[loss()])
+        self.assertEqual(starts(harness.offer(job("b" * 16))), [])
+
+
 class TakeoverTests(unittest.TestCase):
     """A resumed task, whose upstream was lost before its new owner polled it."""
 
--- a/packages/core/carobramp_core/cells/upstreams.py
+++ b/packages/core/carobramp_core/cells/upstreams.py
@@ -120,6 +120,8 @@
         self.silent_losses: list[tuple[UpstreamLoss, int]] = []
         self.missing_since: float | None = None
         self.runs: dict[RunId, Run] = {}
+        # Runs that may crash the upstream; nothing starts beside them.
+        self.isolated_runs: set[RunId] = set()
         # Number of runs whose job is unknown, as no entry has claimed them yet.
         self.orphaned_run_count = 0
         self.used_cpu = 0
@@ -198,6 +200,7 @@
 
     def remove_run(self, run: Run):
         """Remove a run that is over and free its capacity; do nothing if unknown."""
+        self.isolated_runs.discard(run.run_id)
         if self.runs.pop(run.run_id, None) is not None:
             self.adjust_used_capacity(run, -1)
 
@@ -228,6 +231,7 @@
             and self.record.state == UpstreamState.READY
             and now >= self.blocked_until
             and not self.orphaned_run_count
+            and not self.isolated_runs
             and not (self.probing and self.runs)
         )
 
