--- a/packages/core/carobramp_core/cells/tests/test_owner.py
+++ b/packages/core/carobramp_core/cells/tests/test_owner.py
@@ -41,6 +41,52 @@
 from carobramp_core.cells.upstreams import STALL_MIN_S
 
 
+class ChangedCapacityTests(unittest.TestCase):
+    """Upstreams whose capacity shrinks and grows again while tasks run."""
+
+    def setUp(self):
+        """Fill an upstream with two tasks and let a third one wait."""
+        self.harness = OwnerHarness(upstream())
+        self.harness.answer_poll()
+        effects = self.harness.offer(job(tasks=3, target_ms=5000))
+        self.first, self.second = starts(effects)
+
+    def resize(self, cpu):
+        """List the upstream with another capacity; return the start orders."""
+        return starts(self.harness.handle(UpstreamsListed((upstream(cpu=cpu),))))
+
+    def end(self, order, number, kind=RunEndKind.DONE):
+        """List the end of a run; return the start orders."""
+        others = {self.first.run_id, self.second.run_id} - {order.run_id}
+        active = [ActiveRun(run_id, 10) for run_id in others if number == 1]
+        return starts(
+            self.harness.answer_poll(running=active, ended=[ended(order, kind, number)])
+        )
+
+    def test_start_exceeds_a_capacity_that_has_shrunk(self):
+        """Guards against starts on an upstream that does not enforce its capacity."""
+        self.assertEqual(self.resize(9000), [])
+        self.assertEqual(self.end(self.first, 1), [])
+        (third,) = self.end(self.second, 2)
+        self.assertEqual(third.run_id.index, 2)
+
+    def test_start_beside_a_run_that_is_being_stopped(self):
+        """Guards against a run that counts no more before it has ended."""
+        self.resize(9000)
+        self.end(self.first, 1)
+        self.harness.owner.stop_run(
+            self.harness.owner.runs[self.second.run_id.job_id, 1], self.harness.now, []
+        )
+        self.assertEqual(starts(self.harness.tick(0.1)), [])
+
+    def test_nothing_starts_without_capacity_until_it_grows_again(self):
+        """Guards against starts on an upstream that has shrunk to nothing."""
+        self.resize(0)
+        self.assertEqual(self.end(self.first, 1), [])
+        self.assertEqual(self.end(self.second, 2), [])
+        self.assertEqual(len(self.resize(16000)), 1)
+
+
 class UnansweredStartTests(unittest.TestCase):
     """Start orders without an answer, and the listings that resolve them."""
 
