Let callers of the soak send crashing tasks, and describe the crash records

Change: a share of 0.02 of the soak's jobs crash each worker that starts them, drawn apart from faults and callers; the check allows five starts. A crashed worker comes back on its own port behind its relay.

--- a/packages/testing/carobramp_testing/chaos/leased.py
+++ b/packages/testing/carobramp_testing/chaos/leased.py
@@ -36,6 +36,10 @@
 BROKEN = (0, 502, 504)
 MAX_TRIES = 4
 OWNER_SHARE = 0.5
+# Share of the jobs whose tasks crash each worker that starts them.
+CRASH_SHARE = 0.02
+# Most starts of such a task: after three crashes the platform allows two more.
+MAX_CRASHING_STARTS = 5
 # Share of the cuts whose end delivers what was held instead of dropping it.
 LATE_SHARE = 0.5
 FAULT_GAP_S = (0.2, 1.5)
@@ -77,6 +81,7 @@
 
     job_id: str
     tasks: int
+    crash: bool = False
     statuses: list[int] = dataclasses.field(default_factory=list)
     states: list[str] = dataclasses.field(default_factory=list)
 
@@ -97,6 +102,7 @@
         self.seed = seed
         self.rng = random.Random(seed)
         self.caller_rng = random.Random(seed + 1)
+        self.crash_rng = random.Random(seed + 2)
         self.seconds = seconds
         self.logs = logs
         self.platform = LeasedPlatform(workers=workers)
@@ -139,14 +145,15 @@
         while True:
             await asyncio.sleep(1 / JOBS_PER_S)
             tasks = self.caller_rng.randint(1, 4)
-            record = JobRecord(f"{len(self.jobs):016x}", tasks)
+            crash = self.crash_rng.random() < CRASH_SHARE
+            record = JobRecord(f"{len(self.jobs):016x}", tasks, crash)
             self.jobs.append(record)
             self.spawn(self.submit(record))
 
     async def submit(self, record: JobRecord):
         """Submit a job until it has an answer or too many tries."""
         run_ms = self.caller_rng.choice((50, 200, 900))
-        body = leased_job(record.tasks, run_ms=run_ms)
+        body = leased_job(record.tasks, run_ms=run_ms, crash=record.crash)
         for _ in range(MAX_TRIES):
             daemon = self.caller_rng.choice(list(self.deployment.daemons.values()))
             status, answer = await self.deployment.submit(daemon, record.job_id, body)
@@ -223,6 +230,8 @@
             await asyncio.sleep(seconds)
             self.rng.choice((relay.mend, relay.deliver))()
         elif kind == "restart_worker":
+            if not worker.up:
+                return
             for task in list(worker.running):
                 worker.end(task, "crashed", listed=False)
             worker.reset()
@@ -291,6 +300,9 @@
             done = {index for index, how in ran if how == "done"}
             if "completed" in record.states and len(done) < record.tasks:
                 violations.append(f"completed without all tasks: {record.job_id}")
+            starts = collections.Counter(index for index, _ in ran)
+            if record.crash and starts and max(starts.values()) > MAX_CRASHING_STARTS:
+                violations.append(f"starts of crashing tasks: {record.job_id} {starts}")
             if ran and record.statuses and set(record.statuses) == {REFUSED}:
                 violations.append(f"said not to have run: {record.job_id}")
         return violations
@@ -311,7 +323,11 @@
         """Return the figures of the run as text."""
         statuses = collections.Counter(s for job in self.jobs for s in job.statuses)
         faults = ", ".join(f"{kind} {n}" for kind, n in sorted(self.faults.items()))
-        return f"{len(self.jobs)} jobs, answers {dict(statuses)}, faults: {faults}"
+        crashes = sum(worker.crash_count for worker in self.platform.workers.values())
+        return (
+            f"{len(self.jobs)} jobs, answers {dict(statuses)}, "
+            f"{crashes} workers crashed, faults: {faults}"
+        )
 
 
 async def run_until_signalled(chaos: LeasedChaos):
--- a/packages/testing/carobramp_testing/standins/leased/worker.py
+++ b/packages/testing/carobramp_testing/standins/leased/worker.py
@@ -98,7 +98,9 @@
         self.seq = 0
         self.reset()
         self.runner: web.AppRunner | None = None
+        # Address at which daemons reach this worker: its own one or that of a relay.
         self.address = ""
+        self.port = 0
 
     def reset(self):
         """Start a new life: nothing runs, and no token was seen."""
@@ -125,7 +127,8 @@
         await self.runner.setup()
         site = web.TCPSite(self.runner, "127.0.0.1", port)
         await site.start()
-        self.address = f"127.0.0.1:{site._server.sockets[0].getsockname()[1]}"
+        self.port = site._server.sockets[0].getsockname()[1]
+        self.address = self.address or f"127.0.0.1:{self.port}"
         return self
 
     async def crash_and_restart(self):
@@ -138,7 +141,7 @@
         await asyncio.sleep(CRASH_DOWN_S)
         self.reset()
         self.name = f"{self.machine}-{self.crash_count}"
-        await self.start(int(self.address.rpartition(":")[2]))
+        await self.start(self.port)
         self.up = True
 
     async def stop(self):
