Interrupt jobs at once that wait for a lost upstream in vain

Cause: the owner starts a task again when the lease of its upstream is over, as a refused connection may be a cut, and looked only then at whether that is still in time. Change: at the first refused connection, or another incarnation at the address, the owner tells the entries of those jobs whose tasks would end too late after the end of the lease. The entry answers `interrupted` with the reason upstream_lost and cancels the job. The loss still counts when the lease is over. A silent upstream may answer again and changes nothing. Why this works: no start order can go out before the lease is over, and the caller sends the job again 1.3 s after such an answer, when the lease is over too, so that no two runs overlap.

--- a/packages/core/carobramp_core/cells/entry.py
+++ b/packages/core/carobramp_core/cells/entry.py
@@ -42,6 +42,11 @@
 # Fraction of the objective for which a job waits for a link to an owner. A later
 # refusal would leave the caller too little time to send the job elsewhere.
 OWNER_WAIT_FRACTION = 0.25
+# Reasons for which an owner ends a job whose runs may go on.
+INTERRUPTIONS = {
+    ReturnReason.SUPERSEDED: NoResultReason.INTERRUPTED,
+    ReturnReason.UPSTREAM_LOST: NoResultReason.UPSTREAM_LOST,
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -459,9 +464,10 @@
         return
     offered = open_job.offered_by_cell.get(cell, set())
     offered.difference_update(message.indexes)
-    if message.reason == ReturnReason.SUPERSEDED:
+    if message.reason in INTERRUPTIONS:
         open_job.started = True
-        entry.refuse_job(open_job, NoResultReason.INTERRUPTED, 0.0, now, effects)
+        reason = INTERRUPTIONS[message.reason]
+        entry.refuse_job(open_job, reason, 0.0, now, effects)
         return
     if message.reason == ReturnReason.OVERLOADED:
         reason = NoResultReason.OVERLOADED
--- a/packages/core/carobramp_core/cells/losses.py
+++ b/packages/core/carobramp_core/cells/losses.py
@@ -13,9 +13,19 @@
 import dataclasses
 from collections.abc import Iterable
 
-from carobramp_core.cells.messages import Offer, Placement, UpstreamLoss, UpstreamLosses
-from carobramp_core.cells.orders import LogEvent, SendToAllEntries
-from carobramp_core.cells.upstreams import RunPhase, Upstream
+from carobramp_core.cells.messages import (
+    Offer,
+    Placement,
+    ReturnReason,
+    TasksReturned,
+    UpstreamLoss,
+    UpstreamLosses,
+)
+from carobramp_core.cells.orders import LogEvent, SendToAllEntries, SendToEntry
+from carobramp_core.cells.placement import WaitingTask, ends_too_late
+from carobramp_core.cells.upstreams import Run, RunPhase, Upstream
+
+MS_PER_S = 1000
 
 
 def record_losses(owner, losses: Iterable[UpstreamLoss], now, effects):
@@ -58,9 +68,44 @@
 
 def record_evidence(owner, upstream: Upstream, process_gone, now, effects):
     """Record whether a poll has shown that the upstream's incarnation is gone."""
+    newly_gone = process_gone and not upstream.process_gone
     upstream.process_gone = process_gone
     if process_gone:
         record_confirmed_crashes(owner, upstream, None, now, effects)
+    if newly_gone:
+        interrupt_late_jobs(upstream, now, effects)
+
+
+def interrupt_late_jobs(upstream: Upstream, now, effects):
+    """Interrupt the jobs with a task that cannot start again in time to be useful.
+
+    A refused connection does not prove that a run is over, so that its task starts
+    again only when the lease of the upstream is over.
+    """
+    late: dict[str, str] = {}
+    for run in upstream.runs.values():
+        if run.entry and restarts_too_late(run, upstream.leased_until):
+            late[run.run_id.job_id] = run.entry
+    for job_id, entry in late.items():
+        message = TasksReturned(job_id, (), ReturnReason.UPSTREAM_LOST)
+        effects.append(SendToEntry(entry, message))
+    if late:
+        fields = {
+            "upstream": upstream.name,
+            "jobs": " ".join(late),
+            "lease_ms": round((upstream.leased_until - now) * MS_PER_S),
+        }
+        effects.append(LogEvent("jobs interrupted by the loss of an upstream", fields))
+
+
+def restarts_too_late(run: Run, restart_at) -> bool:
+    """Return whether a task that starts again at `restart_at` would end too late."""
+    if run.job is None or run.entry is None:
+        return False
+    task = WaitingTask(
+        run.job, run.run_id.index, run.entry, run.received_at, run.expected_s
+    )
+    return ends_too_late(task, restart_at)
 
 
 def record_confirmed_crashes(owner, upstream: Upstream, born_ms, now, effects):
--- a/packages/core/carobramp_core/cells/messages.py
+++ b/packages/core/carobramp_core/cells/messages.py
@@ -55,13 +55,16 @@
 class ReturnReason(enum.StrEnum):
     """Why an owner returned tasks; none of them is running.
 
-    SUPERSEDED names no tasks: another entry has offered the job, whose runs may go on.
+    Two reasons name no tasks, as runs may go on. SUPERSEDED: another entry has offered
+    the job. UPSTREAM_LOST: nothing listens at the upstream of a task, and the task may
+    start again only when it is too late to be useful.
     """
 
     NO_CAPACITY = "no_room"
     OVERLOADED = "overloaded"
     NO_SERVICE = "no_service"
     SUPERSEDED = "superseded"
+    UPSTREAM_LOST = "upstream_lost"
 
 
 class TaskResult(enum.StrEnum):
@@ -226,6 +229,7 @@
     NO_OWNER = "no_owner"
     NO_SERVICE = "no_service"
     OWNER_LOST = "owner_lost"
+    UPSTREAM_LOST = "upstream_lost"
     INTERRUPTED = "interrupted"
     CALLER_GONE = "caller_gone"
     UNKNOWN_ROUTE = "unknown_route"
--- a/packages/core/carobramp_core/cells/tests/test_losses.py
+++ b/packages/core/carobramp_core/cells/tests/test_losses.py
@@ -20,8 +20,12 @@
 from carobramp_core.cells.messages import (
     CancelJob,
     Failed,
+    Interrupted,
+    NoResultReason,
     Offer,
     Placement,
+    ReturnReason,
+    TasksReturned,
     TasksStarted,
     UpstreamLosses,
 )
@@ -91,6 +95,43 @@
         self.assertTrue(lost.crashed)
 
 
+class LateRestartTests(unittest.TestCase):
+    """Tasks whose upstream refuses connections before its lease is over."""
+
+    def lose_upstream(self, refused=True, **fields):
+        """Start a job of two tasks, leave a poll unanswered and return what is told."""
+        harness = OwnerHarness(upstream())
+        harness.answer_poll()
+        for order in starts(harness.offer(job(tasks=2, **fields))):
+            harness.accept(order)
+        effects = [*harness.fail_poll(refused=refused), *harness.fail_poll()]
+        return messages(effects, TasksReturned)
+
+    def test_job_that_cannot_end_in_time_is_not_held_until_the_lease_ends(self):
+        """Guards against callers that wait for a restart that would be too late."""
+        returned = TasksReturned(JOB_ID, (), ReturnReason.UPSTREAM_LOST)
+        self.assertEqual(self.lose_upstream(), [returned])
+
+    def test_job_that_can_end_in_time_goes_on(self):
+        """Guards against the failure of a job whose tasks can start again in time."""
+        self.assertEqual(self.lose_upstream(target_ms=1000.0), [])
+
+    def test_silent_upstream_may_answer_again(self):
+        """Guards against the failure of a job whose upstream is only cut off."""
+        self.assertEqual(self.lose_upstream(refused=False), [])
+
+    def test_cancelled_job_still_counts_the_loss(self):
+        """Guards against crashes that are forgotten as their jobs end early."""
+        harness = OwnerHarness(upstream())
+        harness.answer_poll()
+        (order,) = starts(harness.offer(job()))
+        harness.accept(order)
+        harness.fail_poll(refused=True)
+        harness.cancel(JOB_ID)
+        (lost,) = losses(harness.tick(LEASE_OVER_S))
+        self.assertEqual(lost, loss(run=order.run_id.run))
+
+
 class OwnerTests(unittest.TestCase):
     """Tasks with losses that reach an owner."""
 
@@ -244,6 +285,15 @@
         (answer,) = self.entry.handle(JobReceived(job()), 0.0)[-1:]
         self.assertEqual(answer.outcome, Failed())
 
+    def test_job_without_a_timely_restart_is_interrupted(self):
+        """Guards against an answer that says that nothing has run."""
+        self.entry.handle(JobReceived(job(tasks=2)), 0.0)
+        effects = self.receive(TasksReturned(JOB_ID, (), ReturnReason.UPSTREAM_LOST))
+        sent = [e.message for e in effects if isinstance(e, SendToOwner)]
+        (answer,) = [e for e in effects if isinstance(e, AnswerCaller)]
+        self.assertEqual(sent, [CancelJob(JOB_ID)])
+        self.assertEqual(answer.outcome, Interrupted(NoResultReason.UPSTREAM_LOST))
+
     def test_resumed_offer_names_the_last_placement(self):
         """Guards against a new owner that does not know where the task has run."""
         self.entry.handle(JobReceived(job()), 0.0)
