Blame an upstream only for the first stall of a task

A task that stands still wherever it runs would take one upstream after another out of use for 1 to 4 s each, until its caller gives up. Cause: the same as that of the crashing tasks: the fault of a task is put down to each upstream that it meets, and nothing counts over the runs. Change: runs and waiting tasks carry the number of stalled runs of their task. Only the first one quarantines its upstream, and after two the next run is not stopped any more: it may be slow, and starting it again has not helped. The log line has the number. Evidence: test_task_that_stalls_everywhere_quarantines_every_upstream fails before (5 of 5 upstreams quarantined, a start on each) and passes after (1 quarantined, 3 runs); 102 tests of carobramp_core.cells pass. Why this works: an upstream that is at fault stalls the runs of other tasks too, each of which is a first one. What is left: the number is forgotten with the owner and with the request, which costs one more quarantine.

--- a/packages/core/carobramp_core/cells/event_handlers.py
+++ b/packages/core/carobramp_core/cells/event_handlers.py
@@ -249,17 +249,20 @@
 def restart_stalled_run(run: Run, owner, now, effects):
     """Stop a stalled run; quarantine its upstream unless it is blocked already.
 
-    The task is queued again once the run is over.
+    The upstream is not quarantined if the task has stalled elsewhere too. The task is
+    queued again once the run is over.
     """
     upstream = owner.upstreams[run.upstream]
-    if now >= upstream.blocked_until:
+    if now >= upstream.blocked_until and not run.stalled_runs:
         upstream.quarantine(now)
+    run.stalled_runs += 1
     fields = {
         "upstream": upstream.name,
         "job_id": run.run_id.job_id,
         "index": run.run_id.index,
         "percent": run.percent,
         "still_ms": round((now - run.progress_at) * MS_PER_S),
+        "stalled_runs": run.stalled_runs,
         "quarantine_s": upstream.quarantine_s,
     }
     effects.append(LogEvent("run stalled", fields))
--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -194,6 +194,7 @@
             expected_s=task.expected_s,
             received_at=task.received_at,
             progress_at=now,
+            stalled_runs=task.stalled_runs,
         )
         upstream.add_run(run)
         self.index_run(run)
@@ -245,7 +246,10 @@
         given_up = self.crash_records.given_up_task(run.run_id.job_id) is not None
         if run.requeue and result == TaskResult.LOST and not given_up:
             run.requeue = False
-            self.enqueue_task(run.job, run.run_id.index, run.entry, run.received_at, ())
+            task = self.enqueue_task(
+                run.job, run.run_id.index, run.entry, run.received_at, ()
+            )
+            task.stalled_runs = run.stalled_runs
             return
         ended = TaskEnded(run.run_id.job_id, run.run_id.index, result, run.upstream)
         effects.append(SendToEntry(run.entry, ended))
--- a/packages/core/carobramp_core/cells/placement.py
+++ b/packages/core/carobramp_core/cells/placement.py
@@ -35,6 +35,7 @@
     received_at : time at which the entry received the job
     expected_s : expected run time on an upstream of mean speed
     avoid : upstreams on which the task must not run
+    stalled_runs : number of runs of the task that were stopped as stalled
     """
 
     job: Job
@@ -43,6 +44,7 @@
     received_at: float
     expected_s: float
     avoid: tuple[str, ...] = ()
+    stalled_runs: int = 0
 
     def objective_at(self) -> float:
         """Return the time by which the task must end to meet the job's objective."""
--- a/packages/core/carobramp_core/cells/tests/test_owner.py
+++ b/packages/core/carobramp_core/cells/tests/test_owner.py
@@ -38,7 +38,11 @@
     stops,
     upstream,
 )
-from carobramp_core.cells.upstreams import STALL_MIN_S
+from carobramp_core.cells.upstreams import (
+    MAX_STALLED_RUNS,
+    STALL_MAX_S,
+    STALL_MIN_S,
+)
 
 
 class ChangedCapacityTests(unittest.TestCase):
@@ -491,6 +495,38 @@
         self.assertNotEqual(again.upstream, name)
         self.assertGreater(harness.owner.upstreams[name].blocked_until, harness.now)
 
+    def test_task_that_stalls_everywhere_quarantines_every_upstream(self):
+        """Guards against upstreams that are quarantined for the fault of one task."""
+        names = ("i-1", "i-2", "i-3", "i-4", "i-5")
+        harness = OwnerHarness(*(upstream(name) for name in names))
+        for name in names:
+            harness.answer_poll(name)
+        orders = starts(harness.offer(job(target_ms=10_000.0)))
+        runs = 0
+        while orders:
+            (order,) = orders
+            runs += 1
+            orders = self.stall(harness, order)
+        quarantined = [
+            name
+            for name in names
+            if harness.owner.upstreams[name].blocked_until > harness.now
+        ]
+        self.assertEqual(len(quarantined), 1)
+        self.assertEqual(runs, 1 + MAX_STALLED_RUNS)
+
+    def stall(self, harness, order):
+        """Show no progress of a run until it is stopped; return the next starts."""
+        harness.accept(order)
+        stalled, name = running(order, 0), order.upstream
+        harness.answer_poll(name, [stalled])
+        harness.now += STALL_MAX_S
+        for stop in stops(harness.answer_poll(name, [stalled])):
+            harness.accept_stop(stop)
+            stopped = ended(order, RunEndKind.STOPPED)
+            return starts(harness.answer_poll(name, ended=[stopped]))
+        return []
+
     def test_slow_run_continues(self):
         """Guards against stopping a run because its upstream is slow."""
         harness = OwnerHarness(upstream())
--- a/packages/core/carobramp_core/cells/upstreams.py
+++ b/packages/core/carobramp_core/cells/upstreams.py
@@ -30,6 +30,9 @@
 STALL_MAX_S = 0.25
 STALL_FACTOR = 1.5
 STALL_MIN_FRACTION = 0.25
+# Stalled runs of one task that are stopped; the task itself may be the cause, so that
+# the next run goes on and only the upstream of the first one is quarantined.
+MAX_STALLED_RUNS = 2
 
 
 class RunPhase:
@@ -60,6 +63,7 @@
     received_at : time at which the entry received the job
     percent : progress as last listed
     progress_at : time at which the progress last rose, at first the time of the start
+    stalled_runs : number of earlier runs of the task that were stopped as stalled
     """
 
     run_id: RunId
@@ -75,6 +79,7 @@
     received_at: float = 0.0
     percent: float = 0.0
     progress_at: float = math.inf
+    stalled_runs: int = 0
 
     def record_progress(self, percent, now):
         """Record the listed progress if it has risen."""
@@ -83,7 +88,9 @@
             self.progress_at = now
 
     def is_stalled(self, now) -> bool:
-        """Return whether the listings have shown no progress for too long."""
+        """Return whether to stop the run, as the listings show no progress."""
+        if self.stalled_runs >= MAX_STALLED_RUNS:
+            return False
         scaled_s = min(STALL_MAX_S, STALL_FACTOR * self.expected_s)
         limit_s = max(STALL_MIN_S, scaled_s, STALL_MIN_FRACTION * self.expected_s)
         return now - self.progress_at > limit_s
