--- a/packages/core/carobramp_core/cells/tests/test_owner.py
+++ b/packages/core/carobramp_core/cells/tests/test_owner.py
@@ -20,6 +20,7 @@
     RejectReason,
     RunEndKind,
     RunId,
+    SendToEntry,
     StartAnswered,
     StopAnswered,
     UpstreamsListed,
@@ -257,6 +258,38 @@
         harness.now += LIMITS.link_timeout_s
         self.assertEqual(len(starts(harness.answer_poll("i-1"))), 1)
 
+    def test_task_offered_again_over_a_new_link_starts_twice(self):
+        """Guards against two runs of a task whose entry has lost its link twice."""
+        harness = OwnerHarness(upstream("i-1"), upstream("i-2"), taken_over=True)
+        item = job(target_ms=5000)
+        harness.offer(item, "front-1/1", resumed=True)
+        harness.handle(EntryLinkClosed("front-1/1"))
+        harness.offer(item, "front-1/2", resumed=True)
+        effects = [*harness.answer_poll("i-1"), *harness.answer_poll("i-2")]
+        (order,) = starts([*effects, *harness.tick(0.1)])
+        (started,) = [e for e in effects if isinstance(e, SendToEntry)]
+        self.assertEqual((order.run_id.index, started.entry), (0, "front-1/2"))
+
+    def test_job_sent_again_to_another_entry_overtakes_its_earlier_runs(self):
+        """Guards against two runs when a second entry replaces a resumed offer."""
+        harness = OwnerHarness(upstream("i-1"), upstream("i-2"), taken_over=True)
+        item = job(target_ms=5000)
+        harness.answer_poll("i-1")
+        harness.offer(item, "front-1", resumed=True)
+        self.assertEqual(starts(harness.offer(item, "front-2")), [])
+        earlier = ActiveRun(RunId(item.job_id, 0, 7), 40)
+        self.assertEqual(starts(harness.answer_poll("i-2", running=[earlier])), [])
+
+    def test_pending_tasks_of_the_same_entry_are_kept(self):
+        """Guards against a task that is forgotten when its entry offers another one."""
+        harness = OwnerHarness(upstream("i-1"), upstream("i-2"), taken_over=True)
+        item = job(tasks=2, target_ms=5000)
+        harness.offer(item, resumed=True, indexes=(0,))
+        harness.offer(item, indexes=(1,))
+        effects = [*harness.answer_poll("i-1"), *harness.answer_poll("i-2")]
+        indexes = sorted(order.run_id.index for order in starts(effects))
+        self.assertEqual(indexes, [0, 1])
+
     def test_new_task_starts_during_a_takeover(self):
         """Guards against new jobs that wait until earlier runs are resolved."""
         harness = OwnerHarness(upstream("i-1"), upstream("i-2"), taken_over=True)
--- a/packages/testing/carobramp_testing/chaos/leased.py
+++ b/packages/testing/carobramp_testing/chaos/leased.py
@@ -49,6 +49,7 @@
     10: "an entry said that a job had not run whose start was on its way",
     16: "an entry said that a job had not run whose start was on its way",
     23: "an owner started what an entry had given up and offered to another cell",
+    109: "a new owner started a task once for each link over which it was offered",
 }
 # Time after the last fault within which every daemon serves again.
 RECOVER_S = 12.0
@@ -343,6 +344,8 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--workers", type=int, default=4, help="in each zone")
+    parser.add_argument("--daemons", type=int, default=2, help="in each zone")
     parser.add_argument("--logs", help="folder that keeps the logs of a violation")
     parser.add_argument("--failed", action="store_true", help="seeds that have failed")
     options = parser.parse_args()
@@ -354,7 +357,9 @@
 
 def run_seed(seed, options) -> int:
     """Run one seed, print its figures and return the number of its violations."""
-    chaos = LeasedChaos(seed, options.seconds, logs=options.logs)
+    chaos = LeasedChaos(
+        seed, options.seconds, options.workers, options.daemons, options.logs
+    )
     violations = asyncio.run(run_until_signalled(chaos))
     print(f"seed {seed}: {chaos.summary()}")
     for violation in violations:
