Show with processes that starts follow a changed capacity

Change: stand-in upstreams may leave their capacity unguarded and change it. test_leased.ChangedCapacityTests fills them at 16, 9 and again 16 cores and takes the most cores in use at any start.

--- a/packages/testing/carobramp_testing/checker.py
+++ b/packages/testing/carobramp_testing/checker.py
@@ -152,6 +152,26 @@
     return ""
 
 
+def peak_cpu(runs, since) -> int:
+    """Return the most cores, in thousandths, that runs of one upstream took at once.
+
+    Parameters
+    ==========
+
+    runs : runs of a stand-in upstream, see `overlapping_runs`
+    since : time of the first start that is examined
+    """
+    starts = [run.started_at for run in runs if run.started_at >= since]
+    return max(
+        sum(
+            run.cpu
+            for run in runs
+            if run.started_at <= at and (run.ended_at is None or run.ended_at > at)
+        )
+        for at in [since, *starts]
+    )
+
+
 def overlapping_runs(runs) -> list[str]:
     """Return the tasks of which two runs were there at the same time.
 
--- a/packages/testing/carobramp_testing/standins/leased/worker.py
+++ b/packages/testing/carobramp_testing/standins/leased/worker.py
@@ -66,6 +66,8 @@
     Attributes
     ==========
 
+    cpu : cores in thousandths; they may change while the worker runs
+    enforces_capacity : whether a start that does not fit is refused
     crashed_names : names of crashed lives whose entries are still in the store
     crash_count : number of crashes
     """
@@ -91,6 +93,7 @@
         self.restarting: asyncio.Task | None = None
         self.machine = name
         self.cpu = cpu
+        self.enforces_capacity = True
         self.speed = speed
         self.state = "ready"
         self.faults = WorkerFaults()
@@ -244,7 +247,8 @@
         if number <= self.stopped.get(task, 0):
             return self.refuse("old")
         cpu, seconds = self.task_sizes(body["spec"])
-        if sum(run.cpu for run in self.running.values()) + cpu > self.cpu:
+        used = sum(run.cpu for run in self.running.values())
+        if self.enforces_capacity and used + cpu > self.cpu:
             return self.refuse("room")
         run = TaskRun(task, number, cpu, time.monotonic())
         self.runs.append(run)
--- a/packages/testing/carobramp_testing/tests/test_leased.py
+++ b/packages/testing/carobramp_testing/tests/test_leased.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import signal
+import time
 import unittest
 
 from carobramp_testing.builders.jobs import leased_job
-from carobramp_testing.checker import HTTP_OK, overlapping_runs
+from carobramp_testing.checker import HTTP_OK, overlapping_runs, peak_cpu
 from carobramp_testing.leased import LeasedDeployment
 from carobramp_testing.processes import wait_for
 from carobramp_testing.standins.leased import LeasedPlatform
@@ -16,6 +17,10 @@
 # Upstreams that may crash under a task before it is given up.
 MAX_CRASHES = 2
 IN_FORCE_S = 2.0
+# Time in which a changed capacity has to be known, as the platform states.
+CAPACITY_NOTICE_S = 3.0
+TASK_CPU = 6800
+FULL_CPU, SHRUNK_CPU = 16000, 9000
 UNAVAILABLE = 503
 
 
@@ -177,6 +182,34 @@
                 await asyncio.sleep(0.02)
 
 
+class ChangedCapacityTests(LeasedCase):
+    """Upstreams that do not enforce their capacity, which changes while they run."""
+
+    def resize(self, cpu):
+        """Change the capacity of every upstream, as their next reports say."""
+        for worker in self.platform.workers.values():
+            worker.enforces_capacity = False
+            worker.cpu = cpu
+
+    async def peak_under_load(self):
+        """Fill the upstreams; return the most cores that any of them had in use."""
+        since = time.monotonic()
+        jobs = [self.submit(self.daemon(), tasks=4, run_ms=100) for _ in range(8)]
+        self.assertIn(COMPLETED, await asyncio.gather(*jobs))
+        workers = self.platform.workers.values()
+        return max(peak_cpu(worker.runs, since) for worker in workers)
+
+    async def test_starts_exceed_a_capacity_that_has_shrunk(self):
+        """Guards against starts by the capacity that an upstream once had."""
+        peaks = []
+        for cpu in (FULL_CPU, SHRUNK_CPU, FULL_CPU):
+            self.resize(cpu)
+            await asyncio.sleep(CAPACITY_NOTICE_S)
+            peaks.append(await self.peak_under_load())
+        fitting = [FULL_CPU // TASK_CPU, SHRUNK_CPU // TASK_CPU, FULL_CPU // TASK_CPU]
+        self.assertEqual([peak // TASK_CPU for peak in peaks], fitting)
+
+
 class CrashingTaskTests(LeasedCase):
     """Tasks that crash each upstream that starts them."""
 
