Do not count the planned departure of an upstream as a crash

What callers saw: nothing yet; found by reading. A task that was still running when its upstream left as announced had a loss on record: it had to run alone the next time, and two such departures, as when a zone's upstreams are reclaimed, answered its job `failed` although it could be done. Cause: every refused connection at the end of a lease counted as a crash, whatever the upstream had announced before. Change: losses of an upstream whose record says that it leaves are not recorded, neither by its owner nor by a new one. Evidence: test_losses.EvidenceTests.test_departure_counts_as_crash fails before (26 passed, 1 failed) and passes after; 109 tests of cells and models.crashing_tasks pass. Why this works: nothing starts on a leaving upstream, so that a task that crashes what starts it has done so before the departure is announced, or counts once less at most.

--- a/packages/core/carobramp_core/cells/losses.py
+++ b/packages/core/carobramp_core/cells/losses.py
@@ -21,7 +21,12 @@
     UpstreamLoss,
     UpstreamLosses,
 )
-from carobramp_core.cells.orders import LogEvent, SendToAllEntries, SendToEntry
+from carobramp_core.cells.orders import (
+    LogEvent,
+    SendToAllEntries,
+    SendToEntry,
+    UpstreamState,
+)
 from carobramp_core.cells.placement import WaitingTask, ends_too_late
 from carobramp_core.cells.upstreams import Run, RunPhase, Upstream
 
@@ -44,7 +49,12 @@
 
 
 def losses_of_runs(upstream: Upstream, crashed) -> tuple[UpstreamLoss, ...]:
-    """Return the loss of an upstream under each of its runs."""
+    """Return the loss of an upstream under each of its runs.
+
+    The end of an upstream that has announced its departure says nothing of its tasks.
+    """
+    if upstream.record.state == UpstreamState.LEAVING:
+        return ()
     return tuple(
         UpstreamLoss(run_id.job_id, run_id.index, run_id.run, crashed)
         for run_id in upstream.runs
@@ -134,6 +144,8 @@
         upstream = owner.upstreams.get(placement.upstream)
         if placement.index not in indexes or has_answered(upstream, placement):
             continue
+        if upstream is not None and upstream.record.state == UpstreamState.LEAVING:
+            continue
         crashed = upstream is not None and (upstream.answered or upstream.process_gone)
         loss = UpstreamLoss(offer.job.job_id, placement.index, placement.run, crashed)
         losses.append(loss)
--- a/packages/core/carobramp_core/cells/tests/test_losses.py
+++ b/packages/core/carobramp_core/cells/tests/test_losses.py
@@ -29,7 +29,13 @@
     TasksStarted,
     UpstreamLosses,
 )
-from carobramp_core.cells.orders import ActiveRun, RunId, SendToAllEntries
+from carobramp_core.cells.orders import (
+    ActiveRun,
+    RunId,
+    SendToAllEntries,
+    UpstreamsListed,
+    UpstreamState,
+)
 from carobramp_core.cells.tests.support import (
     LIMITS,
     OwnerHarness,
@@ -89,6 +95,12 @@
         (lost,) = losses(self.lose_upstream(refused=True))
         self.assertEqual(lost.run, self.order.run_id.run)
 
+    def test_departure_counts_as_crash(self):
+        """Guards against a task that is given up for upstreams that left by plan."""
+        leaving = upstream(state=UpstreamState.LEAVING)
+        self.harness.handle(UpstreamsListed((leaving, upstream("i-2"))))
+        self.assertEqual(losses(self.lose_upstream(refused=True)), [])
+
     def test_restart_counts_for_each_run(self):
         """Guards against an upstream that is back before its lease is over."""
         (lost,) = losses(self.harness.answer_poll(born_ms=2))
