Move the pending resumed offers to a module of their own

Change: resumed_offers.py has replacing, merging and resuming; functions are moved, their bodies are as before. earlier_runs_resolved stays a method, as the model of cells replaces it. Measured: 126 tests of cells, models and test_leased pass, mypy has no complaint.

--- a/packages/core/carobramp_core/cells/event_handlers.py
+++ b/packages/core/carobramp_core/cells/event_handlers.py
@@ -32,6 +32,7 @@
     UpstreamsListed,
 )
 from carobramp_core.cells.placement import WaitingTask, ends_too_late
+from carobramp_core.cells.resumed_offers import resume_offers
 from carobramp_core.cells.upstreams import Run, RunPhase, Upstream
 
 MS_PER_S = 1000
@@ -112,7 +113,7 @@
     if upstream is None or owner.ownership_lost:
         return
     on_poll_outcome(event.outcome, upstream, owner, event, now, effects)
-    owner.resume_offers(now, effects)
+    resume_offers(owner, now, effects)
 
 
 @functools.singledispatch
@@ -408,7 +409,7 @@
                 owner.stop_run(run, now, effects)
     release_disconnected_entries(owner, now, effects)
     remove_expired(owner, now, effects)
-    owner.resume_offers(now, effects)
+    resume_offers(owner, now, effects)
 
 
 def is_unclaimed(run: Run, limits: CellLimits, now) -> bool:
--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -48,6 +48,7 @@
     queueing_delay_s,
     urgency_key,
 )
+from carobramp_core.cells.resumed_offers import replace_resumed_offers
 from carobramp_core.cells.upstreams import Run, RunPhase, Upstream
 from carobramp_core.run_time_estimator import RunTimeEstimator
 
@@ -379,7 +380,7 @@
         """Queue, start or return the offered tasks, or attach them to earlier runs."""
         job = offer.job
         self.crash_records.record(offer.losses, now)
-        offer = self.replace_resumed_offers(entry, offer)
+        offer = replace_resumed_offers(self, entry, offer)
         self.supersede_entry(entry, job.job_id, effects)
         self.entry_by_job[job.job_id] = entry
         received_at = now - offer.age_s
@@ -400,28 +401,6 @@
             return
         self.admit_tasks(entry, offer, unstarted, received_at, now, effects)
 
-    def replace_resumed_offers(self, entry, offer: Offer) -> Offer:
-        """Drop the pending resumed offers that an offer replaces.
-
-        Those of another entry are dropped whole. Returns the offer with what they told
-        of earlier runs: tasks that it shares with them wait for the same runs.
-        """
-        kept = []
-        for pending in self.resumed_offers:
-            earlier_entry, earlier, received_at = pending
-            if earlier.job.job_id != offer.job.job_id:
-                kept.append(pending)
-                continue
-            shared = set(earlier.indexes) & set(offer.indexes)
-            if shared:
-                offer = merge_earlier_runs(offer, earlier)
-            remaining = tuple(i for i in earlier.indexes if i not in shared)
-            if remaining and earlier_entry == entry:
-                reduced = dataclasses.replace(earlier, indexes=remaining)
-                kept.append((entry, reduced, received_at))
-        self.resumed_offers = kept
-        return offer
-
     def admit_tasks(self, entry, offer: Offer, indexes, received_at, now, effects):
         """Queue tasks of an offer; return those that must not wait here.
 
@@ -547,23 +526,6 @@
             upstream.answered for upstream in self.upstreams.values()
         )
 
-    def resume_offers(self, now, effects):
-        """Handle the resumed offers whose earlier runs are now resolved."""
-        resumed_offers, self.resumed_offers = self.resumed_offers, []
-        for entry, offer, received_at in resumed_offers:
-            if not self.earlier_runs_resolved(offer.members, now):
-                self.resumed_offers.append((entry, offer, received_at))
-                continue
-            unstarted = [
-                index
-                for index in offer.indexes
-                if not self.attach_earlier_run(
-                    entry, offer.job, index, received_at, effects
-                )
-            ]
-            if unstarted:
-                self.admit_tasks(entry, offer, unstarted, received_at, now, effects)
-
     def release_job(self, job_id, now, effects):
         """Stop the runs and drop the waiting tasks of a job that no entry needs."""
         self.entry_by_job.pop(job_id, None)
@@ -587,15 +549,3 @@
         total = sum(u.record.cpu for u in self.upstreams.values() if u.is_usable(now))
         work_core_s = sum(task.core_s() for task in self.waiting)
         return CapacityReport(self.cell, self.token, free, total, work_core_s)
-
-
-def merge_earlier_runs(offer: Offer, earlier: Offer) -> Offer:
-    """Return an offer as resumed, with the possible runs of an earlier offer."""
-    known = {placement.index for placement in offer.placements}
-    placements = [p for p in earlier.placements if p.index not in known]
-    return dataclasses.replace(
-        offer,
-        resumed=True,
-        members=tuple(sorted({*offer.members, *earlier.members})),
-        placements=(*offer.placements, *placements),
-    )
