Show the refusals that a planned stop must not give

Change: the failure message of test_stops has the bodies of the first three such answers, whose detail says by how much the deadline would be missed.

--- a/packages/testing/carobramp_testing/tests/test_stops.py
+++ b/packages/testing/carobramp_testing/tests/test_stops.py
@@ -40,7 +40,8 @@
         at_staying = [a for a in self.callers.attempts if a.vm == staying]
         self.assert_whole(at_staying)
         sent = [a for a in self.callers.attempts if a.vm == leaving and not a.excused]
-        self.assertLessEqual(self.reasons(sent), {"", "draining"})
+        refused = [a.body for a in sent if self.reasons([a]) - {"", "draining"}]
+        self.assertLessEqual(self.reasons(sent), {"", "draining"}, refused[:3])
         await self.assert_sound()
 
     def answered(self, count):
