Let a job wait at a cell that can run it when the last one cannot

Cause: an entry judged a job by the last cell that it tried, so that one cell without the service outweighed two that were only full; and a cell without usable cores has no waiting work per core, the least of all. Change: an open job remembers which cells cannot run it and why. It waits at the least loaded of the others, and ends at once when no linked cell is left; a log line names the reason of each cell. A cell without usable cores counts as the most loaded one. A new owner of a cell is asked anew. Why this works: a job is refused only if each linked cell has said that it cannot run it.

--- a/packages/core/carobramp_core/cells/entry.py
+++ b/packages/core/carobramp_core/cells/entry.py
@@ -4,13 +4,15 @@
 ===========
 
 Tasks are offered to one cell after another that may start them at once, the home cell
-first; the remaining tasks wait at the cell with the least waiting work per core. When
-the link to an owner closes, its tasks are offered to the cell's next owner, which
-adopts runs that are still active, or to any cell once their runs are certainly over.
+first; the remaining tasks wait at the cell with the least waiting work per core among
+those with an upstream that could run them. When the link to an owner closes, its tasks
+are offered to the cell's next owner, which adopts runs that are still active, or to any
+cell once their runs are certainly over.
 """
 
 import dataclasses
 import functools
+import math
 
 from carobramp_core.cells.crash_records import CrashRecords
 from carobramp_core.cells.limits import CellLimits
@@ -42,6 +44,10 @@
 # Fraction of the objective for which a job waits for a link to an owner. A later
 # refusal would leave the caller too little time to send the job elsewhere.
 OWNER_WAIT_FRACTION = 0.25
+# Why no upstream of a cell could run a task, even if it were idle.
+UNSUITABLE_REASONS = {
+    ReturnReason.NO_SERVICE: NoResultReason.NO_SERVICE,
+}
 # Reasons for which an owner ends a job whose runs may go on.
 INTERRUPTIONS = {
     ReturnReason.SUPERSEDED: NoResultReason.INTERRUPTED,
@@ -146,6 +152,7 @@
     offered_by_cell : indexes of the tasks that are offered to each cell and have
         neither ended nor been returned
     tried_cells : cells that returned tasks in the current round of offers
+    unsuitable_cells : cells whose owners could not even queue tasks, with their reasons
     avoid : upstreams on which tasks of the job have failed
     done_indexes : indexes of the tasks with a result
     failure_counts : number of failed runs by index of the task
@@ -158,6 +165,9 @@
     received_at: float
     offered_by_cell: dict[str, set[int]] = dataclasses.field(default_factory=dict)
     tried_cells: set[str] = dataclasses.field(default_factory=set)
+    unsuitable_cells: dict[str, NoResultReason] = dataclasses.field(
+        default_factory=dict
+    )
     avoid: tuple[str, ...] = ()
     lost_tasks: list[LostTasks] = dataclasses.field(default_factory=list)
     done_indexes: set[int] = dataclasses.field(default_factory=set)
@@ -179,6 +189,11 @@
         """Return whether a task may have run or may still start."""
         return self.started or any(self.offered_by_cell.values())
 
+    def forget_tried_cells(self):
+        """Start a new round of offers."""
+        self.tried_cells.clear()
+        self.unsuitable_cells.clear()
+
 
 @dataclasses.dataclass(slots=True)
 class CellView:
@@ -195,8 +210,11 @@
         return self.free_cpu >= job.cpu or not self.total_cpu
 
     def backlog_per_core(self):
-        """Return the waiting work per core; only for comparison between cells."""
-        return self.waiting_s / max(1, self.total_cpu)
+        """Return the waiting work per core; only for comparison between cells.
+
+        Infinite while no upstream is usable.
+        """
+        return self.waiting_s / self.total_cpu if self.total_cpu else math.inf
 
 
 class Entry:
@@ -223,9 +241,9 @@
         on_event(event, self, now, effects)
         return effects
 
-    def untried_cells(self, tried):
+    def untried_cells(self, open_job: OpenJob):
         """Return the cells that were not tried, home cell first, then by free cores."""
-        untried = [name for name in self.cells if name not in tried]
+        untried = [name for name in self.cells if name not in open_job.tried_cells]
 
         def key(name):
             return name != self.home_cell, -self.cells[name].free_cpu
@@ -235,12 +253,21 @@
     def offer_tasks(self, open_job: OpenJob, indexes, now, effects):
         """Offer tasks to the next cell with capacity, or to wait at the least loaded.
 
-        Without a link to any owner the tasks stay unoffered.
+        Without a link to any owner the tasks stay unoffered. If no linked cell is
+        suitable, the job ends at once.
         """
         if not self.cells:
             open_job.unoffered_indexes.update(indexes)
             return
-        untried = self.untried_cells(open_job.tried_cells)
+        unsuitable = open_job.unsuitable_cells
+        suitable = [name for name in self.cells if name not in unsuitable]
+        if not suitable:
+            fields = {"job_id": open_job.job.job_id, **unsuitable}
+            effects.append(LogEvent("no cell can run the job", fields))
+            reason = next(reversed(unsuitable.values()))
+            self.refuse_job(open_job, reason, RETRY_AFTER_S, now, effects)
+            return
+        untried = self.untried_cells(open_job)
         with_capacity = [
             name
             for name in untried
@@ -251,7 +278,7 @@
             self.send_offer(open_job, with_capacity[0], indexes, now, effects)
             return
         least_loaded = min(
-            self.cells, key=lambda name: self.cells[name].backlog_per_core()
+            suitable, key=lambda name: self.cells[name].backlog_per_core()
         )
         self.send_offer(open_job, least_loaded, indexes, now, effects, may_wait=True)
 
@@ -362,6 +389,7 @@
 def _(event: OwnerLinkOpened, entry: Entry, now, effects):
     entry.cells[event.cell] = CellView(event.token, reported_at=now)
     for open_job in list(entry.jobs.values()):
+        open_job.unsuitable_cells.pop(event.cell, None)
         for lost in [item for item in open_job.lost_tasks if item.cell == event.cell]:
             open_job.lost_tasks.remove(lost)
             entry.send_offer(
@@ -410,7 +438,7 @@
         resolved = [item for item in open_job.lost_tasks if now >= item.over_at]
         for lost in resolved:
             open_job.lost_tasks.remove(lost)
-            open_job.tried_cells.clear()
+            open_job.forget_tried_cells()
             entry.offer_tasks(open_job, lost.indexes, now, effects)
 
 
@@ -473,12 +501,8 @@
         reason = NoResultReason.OVERLOADED
         entry.refuse_job(open_job, reason, message.retry_after_s, now, effects)
         return
-    if message.reason == ReturnReason.NO_SERVICE and not entry.untried_cells(
-        open_job.tried_cells | {cell}
-    ):
-        reason = NoResultReason.NO_SERVICE
-        entry.refuse_job(open_job, reason, message.retry_after_s, now, effects)
-        return
+    if message.reason in UNSUITABLE_REASONS:
+        open_job.unsuitable_cells[cell] = UNSUITABLE_REASONS[message.reason]
     open_job.tried_cells.add(cell)
     entry.offer_tasks(open_job, set(message.indexes), now, effects)
 
@@ -512,5 +536,5 @@
             return
         if message.upstream not in open_job.avoid:
             open_job.avoid += (message.upstream,)
-    open_job.tried_cells.clear()
+    open_job.forget_tried_cells()
     entry.offer_tasks(open_job, {message.index}, now, effects)
--- a/packages/core/carobramp_core/cells/tests/test_entry.py
+++ b/packages/core/carobramp_core/cells/tests/test_entry.py
@@ -241,3 +241,45 @@
         self.now += LIMITS.run_end_after_link_loss_s()
         ((cell, _),) = offers(self.handle(EntryTick()))
         self.assertEqual(cell, "breda")
+
+
+class UnsuitableCellTests(EntryCase):
+    """Cells none of whose upstreams could run a task."""
+
+    def setUp(self):
+        """Submit a job of one task; the home cell has waiting work."""
+        super().setUp()
+        self.receive("tilburg", CapacityReport("tilburg", 1, 0, 16000, 5.0))
+        self.submit(tasks=1)
+
+    def return_task(self, cell, reason):
+        """Let a cell's owner return the task."""
+        return self.receive(cell, TasksReturned(JOB_ID, (0,), reason))
+
+    def test_job_is_refused_although_another_cell_can_queue_it(self):
+        """Guards against the last cell that is tried deciding for all of them."""
+        self.return_task("tilburg", ReturnReason.NO_CAPACITY)
+        effects = self.return_task("breda", ReturnReason.NO_SERVICE)
+        ((cell, offer),) = offers(effects)
+        self.assertEqual((cell, offer.may_wait), ("tilburg", True))
+
+    def test_job_waits_at_a_cell_without_usable_upstreams(self):
+        """Guards against a cell without cores that counts as the least loaded."""
+        self.receive("breda", CapacityReport("breda", 1, 0, 0, 0.0))
+        self.return_task("tilburg", ReturnReason.NO_CAPACITY)
+        ((cell, _),) = offers(self.return_task("breda", ReturnReason.NO_CAPACITY))
+        self.assertEqual(cell, "tilburg")
+
+    def test_job_that_no_cell_can_run_is_held(self):
+        """Guards against callers that wait for what cannot be served."""
+        self.return_task("tilburg", ReturnReason.NO_SERVICE)
+        (outcome,) = answers(self.return_task("breda", ReturnReason.NO_SERVICE))
+        self.assertEqual(outcome, Refused(NoResultReason.NO_SERVICE, 1.0))
+
+    def test_cell_stays_unsuitable_under_its_next_owner(self):
+        """Guards against a new owner that is judged by what the former one said."""
+        self.return_task("tilburg", ReturnReason.NO_SERVICE)
+        self.handle(OwnerLinkClosed("tilburg", self.now))
+        self.handle(OwnerLinkOpened("tilburg", 2))
+        ((cell, _),) = offers(self.return_task("breda", ReturnReason.NO_SERVICE))
+        self.assertEqual(cell, "tilburg")
