Return tasks at once that no upstream of a cell is able to run

What callers saw: a job whose tasks are larger than each upstream, because it is too large or the upstreams have shrunk, waited until it was useless, three objectives, and was then refused as overloaded; so did tasks in a zone whose upstreams were all leaving. Cause: an owner queued every task for whose service it had an upstream, whatever its capacity and state. Change: an owner returns such tasks with no_service (none takes new tasks) or too_large (none is large enough), also those that wait already when the list changes; the entry offers them elsewhere, or refuses the job if no cell is left. Tasks of a job with runs in the cell wait for these to end, as before. Nothing is returned before the first list. Evidence: four of the five tests of test_owner.UnfitUpstreamsTests fail before (nothing is returned) and pass after; ChangedCapacityTests, in which an upstream shrinks to nothing and grows again, pass unchanged. 329 tests of core, models, test_leased and platform pass. Why this works: what could not start even on idle upstreams is not queued.

--- a/packages/core/carobramp_core/cells/entry.py
+++ b/packages/core/carobramp_core/cells/entry.py
@@ -47,6 +47,7 @@
 # Why no upstream of a cell could run a task, even if it were idle.
 UNSUITABLE_REASONS = {
     ReturnReason.NO_SERVICE: NoResultReason.NO_SERVICE,
+    ReturnReason.TOO_LARGE: NoResultReason.TOO_LARGE,
 }
 # Reasons for which an owner ends a job whose runs may go on.
 INTERRUPTIONS = {
--- a/packages/core/carobramp_core/cells/event_handlers.py
+++ b/packages/core/carobramp_core/cells/event_handlers.py
@@ -105,6 +105,7 @@
         if upstream.name not in records and upstream.missing_since is None:
             upstream.missing_since = now
     owner.index_services()
+    owner.return_unsuitable_tasks(now, effects)
 
 
 @on_event.register
--- a/packages/core/carobramp_core/cells/messages.py
+++ b/packages/core/carobramp_core/cells/messages.py
@@ -55,6 +55,9 @@
 class ReturnReason(enum.StrEnum):
     """Why an owner returned tasks; none of them is running.
 
+    Two reasons hold even if the cell is idle. NO_SERVICE: no upstream of the service
+    takes new tasks. TOO_LARGE: none of them is large enough for one task.
+
     Two reasons name no tasks, as runs may go on. SUPERSEDED: another entry has offered
     the job. UPSTREAM_LOST: nothing listens at the upstream of a task, and the task may
     start again only when it is too late to be useful.
@@ -63,6 +66,7 @@
     NO_CAPACITY = "no_room"
     OVERLOADED = "overloaded"
     NO_SERVICE = "no_service"
+    TOO_LARGE = "too_large"
     SUPERSEDED = "superseded"
     UPSTREAM_LOST = "upstream_lost"
 
@@ -228,6 +232,7 @@
     OVERLOADED = "overloaded"
     NO_OWNER = "no_owner"
     NO_SERVICE = "no_service"
+    TOO_LARGE = "too_large"
     OWNER_LOST = "owner_lost"
     UPSTREAM_LOST = "upstream_lost"
     INTERRUPTED = "interrupted"
--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -46,6 +46,7 @@
     ends_too_late,
     has_free_cpu,
     queueing_delay_s,
+    unsuitable_reason,
     urgency_key,
 )
 from carobramp_core.cells.resumed_offers import replace_resumed_offers
@@ -413,8 +414,8 @@
             losses = UpstreamLosses(self.crash_records.losses_of(job.job_id))
             effects.append(SendToEntry(entry, losses))
             return
-        if self.upstreams_listed and not self.upstreams_by_service.get(job.service):
-            reason = ReturnReason.NO_SERVICE
+        reason = self.unsuitable_reason(job)
+        if reason is not None:
             effects.append(
                 SendToEntry(entry, TasksReturned(job.job_id, tuple(indexes), reason))
             )
@@ -431,6 +432,29 @@
         self.place_tasks(now, effects)
         self.return_tasks([t for t in tasks if t in self.waiting], now, effects)
 
+    def unsuitable_reason(self, job) -> ReturnReason | None:
+        """Return why the cell could not run a task even if it were idle, or None.
+
+        None as well while the list of upstreams has not been read.
+        """
+        if not self.upstreams_listed:
+            return None
+        return unsuitable_reason(job, self.upstreams_by_service.get(job.service, ()))
+
+    def return_unsuitable_tasks(self, now, effects):
+        """Return the waiting tasks that no upstream could run any more.
+
+        Those of a job with runs here wait for the runs to end.
+        """
+        waiting_by_job: dict[str, list[WaitingTask]] = {}
+        for task in self.waiting:
+            if task.job.job_id not in self.runs_by_job:
+                waiting_by_job.setdefault(task.job.job_id, []).append(task)
+        for tasks in waiting_by_job.values():
+            reason = self.unsuitable_reason(tasks[0].job)
+            if reason is not None:
+                self.return_tasks(tasks, now, effects, reason)
+
     def return_useless_tasks(self, tasks, now, effects):
         """Return the tasks of a job that would end too late to be useful."""
         first = tasks[0]
--- a/packages/core/carobramp_core/cells/placement.py
+++ b/packages/core/carobramp_core/cells/placement.py
@@ -13,7 +13,8 @@
 import math
 from collections.abc import Callable
 
-from carobramp_core.cells.messages import LATE_FACTOR, Job
+from carobramp_core.cells.messages import LATE_FACTOR, Job, ReturnReason
+from carobramp_core.cells.orders import UpstreamState
 from carobramp_core.cells.upstreams import Upstream
 
 # Fraction of the cores that tasks can occupy, as they rarely fill an upstream: two
@@ -122,11 +123,25 @@
     fitting = [
         upstream
         for upstream in upstreams
-        if upstream.record.cpu >= task.job.cpu and upstream.name not in task.avoid
+        if upstream.is_large_enough_for(task.job) and upstream.name not in task.avoid
     ]
     return None, min(fitting, key=lambda item: item.used_cpu, default=None)
 
 
+def unsuitable_reason(job: Job, upstreams) -> ReturnReason | None:
+    """Return why no task of a job could run here even if nothing else ran.
+
+    `upstreams` are those of the job's service; the result is None if one of them could
+    run a task.
+    """
+    ready = [u for u in upstreams if u.record.state == UpstreamState.READY]
+    if not ready:
+        return ReturnReason.NO_SERVICE
+    if not any(upstream.is_large_enough_for(job) for upstream in ready):
+        return ReturnReason.TOO_LARGE
+    return None
+
+
 def queueing_delay_s(waiting, total_cpu) -> float:
     """Return the expected time in seconds until a task behind `waiting` ones starts.
 
--- a/packages/core/carobramp_core/cells/tests/test_owner.py
+++ b/packages/core/carobramp_core/cells/tests/test_owner.py
@@ -570,3 +570,48 @@
             harness.now += 0.1
             effects = harness.answer_poll(running=[running(order, percent)])
             self.assertEqual(stops(effects), [])
+
+
+class UnfitUpstreamsTests(unittest.TestCase):
+    """Tasks that no upstream of the cell could run, even if it were idle."""
+
+    def offer(self, *records, **fields):
+        """Let an owner with the listed upstreams return an offered task."""
+        harness = OwnerHarness(*records)
+        for record in records:
+            harness.answer_poll(record.name)
+        (returned,) = messages(harness.offer(job(**fields)), TasksReturned)
+        return returned.reason
+
+    def list_changed(self, **fields):
+        """Let two tasks wait while a third one runs; list the upstream as changed."""
+        harness = OwnerHarness(upstream())
+        harness.answer_poll()
+        harness.offer(job("a" * 16, cpu=16000))
+        harness.offer(job("b" * 16, tasks=2, target_ms=5000))
+        effects = harness.handle(UpstreamsListed((upstream(**fields),)))
+        return messages(effects, TasksReturned)
+
+    def test_job_larger_than_each_upstream_waits(self):
+        """Guards against late refusals of what was known to be impossible."""
+        self.assertEqual(self.offer(upstream(), cpu=16001), ReturnReason.TOO_LARGE)
+
+    def test_task_waits_for_upstreams_that_all_leave(self):
+        """Guards against tasks that wait where no upstream takes new work."""
+        leaving = upstream(state=UpstreamState.LEAVING)
+        self.assertEqual(self.offer(leaving), ReturnReason.NO_SERVICE)
+
+    def test_queued_tasks_wait_on_after_the_upstreams_have_shrunk(self):
+        """Guards against tasks that do not move on to a cell that could run them."""
+        (returned,) = self.list_changed(cpu=6000)
+        self.assertEqual(returned.indexes, (0, 1))
+        self.assertEqual(returned.reason, ReturnReason.TOO_LARGE)
+
+    def test_queued_tasks_wait_on_for_upstreams_that_leave(self):
+        """Guards against tasks that wait for the notice to be over."""
+        (returned,) = self.list_changed(state=UpstreamState.LEAVING)
+        self.assertEqual(returned.reason, ReturnReason.NO_SERVICE)
+
+    def test_smaller_upstream_that_is_large_enough_keeps_the_queue(self):
+        """Guards against tasks that leave the queue although they could run."""
+        self.assertEqual(self.list_changed(cpu=6800), [])
--- a/packages/core/carobramp_core/cells/upstreams.py
+++ b/packages/core/carobramp_core/cells/upstreams.py
@@ -242,6 +242,14 @@
             and not (self.probing and self.runs)
         )
 
+    def is_large_enough_for(self, job: Job) -> bool:
+        """Return whether a task of a job fits into the whole capacity."""
+        return (
+            self.record.cpu >= job.cpu
+            and self.record.memory_mb >= job.memory_mb
+            and self.record.accelerators >= job.accelerators
+        )
+
     def has_capacity_for(self, job: Job) -> bool:
         """Return whether one more task of a job fits into the free capacity."""
         return (
