Take a loss back when the same incarnation of the upstream answers again

A task whose upstreams were cut off twice while connections to them were refused, or three times in silence, was given up and its job answered failed although it could be done; after one such cut the task waited for an idle upstream. Cause: evidence of a crash was presumed from a refused connection and never taken back. An owner did see later that the same incarnation answers, but only told of confirmed crashes. Change: a loss carries its evidence (silent, crashed, alive) in place of a flag. Every loss that was recorded without an answer of the upstream is kept until the next answer, which proves it either way; better evidence prevails in all records, and a loss with an upstream that is alive does not count. A log line and the label alive of runs_lost_with_upstream show it. Why this works: an incarnation that answers has not crashed, whatever its address answered meanwhile.

--- a/packages/core/carobramp_core/cells/crash_records.py
+++ b/packages/core/carobramp_core/cells/crash_records.py
@@ -7,12 +7,13 @@
 runs, so each loss of an upstream counts against every task that may have been running
 there. A loss is identified by the number of the run: daemons exchange their records,
 and a loss that is reported again, by another daemon or after a takeover, counts once.
-Records outlive the request, since a caller may send the job again to any daemon.
+It no longer counts once the upstream has turned out to be alive. Records outlive the
+request, since a caller may send the job again to any daemon.
 """
 
 from collections.abc import Iterable
 
-from carobramp_core.cells.messages import UpstreamLoss
+from carobramp_core.cells.messages import LossEvidence, UpstreamLoss
 
 # Crashes of upstreams under a task after which it is given up.
 MAX_CRASHES = 2
@@ -32,32 +33,33 @@
     ========
 
     >>> records = CrashRecords()
-    >>> loss = UpstreamLoss("5c0e", index=3, run=7, crashed=True)
-    >>> records.record([loss, loss], now=1.0)
-    (UpstreamLoss(job_id='5c0e', index=3, run=7, crashed=True),)
+    >>> loss = UpstreamLoss("5c0e", index=3, run=7, evidence=LossEvidence.CRASHED)
+    >>> records.record([loss, loss], now=1.0) == (loss,)
+    True
     >>> records.is_suspect("5c0e", 3), records.given_up_task("5c0e")
     (True, None)
-    >>> _ = records.record([UpstreamLoss("5c0e", 3, run=9, crashed=True)], now=2.0)
+    >>> second = UpstreamLoss("5c0e", index=3, run=9, evidence=LossEvidence.CRASHED)
+    >>> _ = records.record([second], now=2.0)
     >>> records.given_up_task("5c0e")
     3
     """
 
     def __init__(self):
-        # Whether the upstream of a run has crashed, by index of the task and number of
-        # the run; by job, in the order of their last losses.
-        self.jobs: dict[str, dict[tuple[int, int], bool]] = {}
+        # Evidence by index of the task and number of the run; by job, in the order of
+        # their last losses.
+        self.jobs: dict[str, dict[tuple[int, int], LossEvidence]] = {}
         self.recorded_at: dict[str, float] = {}
 
     def record(self, losses: Iterable[UpstreamLoss], now) -> tuple[UpstreamLoss, ...]:
-        """Add losses and return those that were unknown, or not known to be crashes."""
+        """Add losses and return those that were unknown or have better evidence."""
         new = []
         for loss in losses:
             runs = self.jobs.get(loss.job_id, {})
             key = loss.index, loss.run
-            if runs.get(key, False) or (key in runs and not loss.crashed):
+            if key in runs and loss.evidence <= runs[key]:
                 continue
             self.forget(loss.job_id)
-            self.jobs[loss.job_id] = {**runs, key: loss.crashed}
+            self.jobs[loss.job_id] = {**runs, key: loss.evidence}
             self.recorded_at[loss.job_id] = now
             new.append(loss)
         self.remove_expired(now)
@@ -81,8 +83,8 @@
         """Return the losses of a job."""
         runs = self.jobs.get(job_id, {})
         return tuple(
-            UpstreamLoss(job_id, index, run, crashed)
-            for (index, run), crashed in runs.items()
+            UpstreamLoss(job_id, index, run, evidence)
+            for (index, run), evidence in runs.items()
         )
 
     def all_losses(self) -> tuple[UpstreamLoss, ...]:
@@ -91,17 +93,23 @@
 
     def is_suspect(self, job_id, index) -> bool:
         """Return whether an upstream was lost under a task."""
-        return any(task == index for task, _ in self.jobs.get(job_id, ()))
+        return bool(self.evidence_by_task(job_id).get(index))
 
     def given_up_task(self, job_id) -> int | None:
         """Return the index of a task that must not start again, or None.
 
         The job cannot be completed without that task.
         """
-        losses_by_task: dict[int, list[bool]] = {}
-        for (index, _), crashed in self.jobs.get(job_id, {}).items():
-            losses_by_task.setdefault(index, []).append(crashed)
-        for index, losses in losses_by_task.items():
-            if sum(losses) >= MAX_CRASHES or len(losses) >= MAX_LOSSES:
+        for index, losses in self.evidence_by_task(job_id).items():
+            crashes = losses.count(LossEvidence.CRASHED)
+            if crashes >= MAX_CRASHES or len(losses) >= MAX_LOSSES:
                 return index
         return None
+
+    def evidence_by_task(self, job_id) -> dict[int, list[LossEvidence]]:
+        """Return the evidence of the losses that count, by index of the task."""
+        by_task: dict[int, list[LossEvidence]] = {}
+        for (index, _), evidence in self.jobs.get(job_id, {}).items():
+            if evidence != LossEvidence.ALIVE:
+                by_task.setdefault(index, []).append(evidence)
+        return by_task
--- a/packages/core/carobramp_core/cells/entry.py
+++ b/packages/core/carobramp_core/cells/entry.py
@@ -23,6 +23,7 @@
     Failed,
     Interrupted,
     Job,
+    LossEvidence,
     NoResultReason,
     Offer,
     Outcome,
@@ -345,7 +346,7 @@
             "job_id": job_id,
             "index": index,
             "losses": len(losses),
-            "crashes": sum(loss.crashed for loss in losses),
+            "crashes": sum(loss.evidence == LossEvidence.CRASHED for loss in losses),
         }
         effects.append(LogEvent("task given up after losses of upstreams", fields))
         self.end_job(open_job, Failed(), now, effects)
--- a/packages/core/carobramp_core/cells/event_handlers.py
+++ b/packages/core/carobramp_core/cells/event_handlers.py
@@ -8,7 +8,7 @@
 
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.losses import (
-    record_confirmed_crashes,
+    record_answer,
     record_evidence,
     record_expired_lease,
     record_restart,
@@ -134,7 +134,7 @@
     upstream.process_gone = False
     if not upstream.born_ms:
         upstream.born_ms = outcome.born_ms
-    record_confirmed_crashes(owner, upstream, outcome.born_ms, now, effects)
+    record_answer(owner, upstream, outcome.born_ms, now, effects)
     if outcome.born_ms != upstream.born_ms:
         fields = {"upstream": upstream.name, "born_ms": outcome.born_ms}
         effects.append(
--- a/packages/core/carobramp_core/cells/losses.py
+++ b/packages/core/carobramp_core/cells/losses.py
@@ -4,16 +4,17 @@
 ===========
 
 An upstream is lost when it has restarted, or when its lease has expired while it did
-not answer. It has certainly crashed if another incarnation answers, and most likely if
-nothing listens at its address; otherwise it may be behind a network partition. The
-owner sends each loss to all entries, which decide with `CrashRecords` whether a task is
-given up.
+not answer. It has certainly crashed if another incarnation answers, certainly not if
+the same one answers again, and most likely if nothing listens at its address; otherwise
+it may be behind a network partition. The owner sends each loss to all entries, which
+decide with `CrashRecords` whether a task is given up.
 """
 
 import dataclasses
 from collections.abc import Iterable
 
 from carobramp_core.cells.messages import (
+    LossEvidence,
     Offer,
     Placement,
     ReturnReason,
@@ -48,7 +49,7 @@
     owner.waiting = [w for w in owner.waiting if w.job.job_id not in given_up]
 
 
-def losses_of_runs(upstream: Upstream, crashed) -> tuple[UpstreamLoss, ...]:
+def losses_of_runs(upstream: Upstream, evidence) -> tuple[UpstreamLoss, ...]:
     """Return the loss of an upstream under each of its runs.
 
     The end of an upstream that has announced its departure says nothing of its tasks.
@@ -56,7 +57,7 @@
     if upstream.record.state == UpstreamState.LEAVING:
         return ()
     return tuple(
-        UpstreamLoss(run_id.job_id, run_id.index, run_id.run, crashed)
+        UpstreamLoss(run_id.job_id, run_id.index, run_id.run, evidence)
         for run_id in upstream.runs
     )
 
@@ -64,25 +65,31 @@
 def record_restart(owner, upstream: Upstream, now, effects):
     """Record that the incarnation with the present runs has crashed."""
     log_lost_runs(upstream, "upstream restarted", effects)
-    record_losses(owner, losses_of_runs(upstream, crashed=True), now, effects)
+    losses = losses_of_runs(upstream, LossEvidence.CRASHED)
+    record_losses(owner, losses, now, effects)
 
 
 def record_expired_lease(owner, upstream: Upstream, now, effects):
     """Record that the lease of an upstream without an answer has expired."""
     log_lost_runs(upstream, "lease expired", effects)
-    losses = losses_of_runs(upstream, upstream.process_gone)
-    if not upstream.process_gone:
-        upstream.silent_losses += [(loss, upstream.born_ms) for loss in losses]
+    losses = losses_of_runs(upstream, evidence_without_answer(upstream))
+    upstream.unproven_losses += [(loss, upstream.born_ms) for loss in losses]
     record_losses(owner, losses, now, effects)
 
 
+def evidence_without_answer(upstream: Upstream) -> LossEvidence:
+    """Return what is known of an upstream that does not answer."""
+    return LossEvidence.CRASHED if upstream.process_gone else LossEvidence.SILENT
+
+
 def record_evidence(owner, upstream: Upstream, process_gone, now, effects):
     """Record whether a poll has shown that the upstream's incarnation is gone."""
     newly_gone = process_gone and not upstream.process_gone
     upstream.process_gone = process_gone
-    if process_gone:
-        record_confirmed_crashes(owner, upstream, None, now, effects)
     if newly_gone:
+        losses = (loss for loss, _ in upstream.unproven_losses)
+        crashes = [with_evidence(loss, LossEvidence.CRASHED) for loss in losses]
+        record_losses(owner, crashes, now, effects)
         interrupt_late_jobs(upstream, now, effects)
 
 
@@ -118,19 +125,28 @@
     return ends_too_late(task, restart_at)
 
 
-def record_confirmed_crashes(owner, upstream: Upstream, born_ms, now, effects):
-    """Record which silent losses were crashes; the others were no crashes.
+def record_answer(owner, upstream: Upstream, born_ms, now, effects):
+    """Record whether losses were crashes, as the incarnation `born_ms` answers."""
+    losses, upstream.unproven_losses = upstream.unproven_losses, []
+    proven = []
+    for loss, lost_born_ms in losses:
+        alive = lost_born_ms == born_ms
+        evidence = LossEvidence.ALIVE if alive else LossEvidence.CRASHED
+        proven.append(with_evidence(loss, evidence))
+    record_losses(owner, proven, now, effects)
+    if proven:
+        names = (f"{p.job_id}.{p.index}.{p.run}:{p.evidence.name}" for p in proven)
+        fields = {
+            "upstream": upstream.name,
+            "born_ms": born_ms,
+            "runs": " ".join(names),
+        }
+        effects.append(LogEvent("lost upstream answers", fields))
 
-    `born_ms` is the number of the incarnation that has answered, None for another
-    upstream or none at all.
-    """
-    losses, upstream.silent_losses = upstream.silent_losses, []
-    crashes = (
-        dataclasses.replace(loss, crashed=True)
-        for loss, lost_born_ms in losses
-        if lost_born_ms != born_ms
-    )
-    record_losses(owner, crashes, now, effects)
+
+def with_evidence(loss: UpstreamLoss, evidence) -> UpstreamLoss:
+    """Return a loss with other evidence."""
+    return dataclasses.replace(loss, evidence=evidence)
 
 
 def record_placement_losses(owner, offer: Offer, indexes, now, effects):
@@ -146,14 +162,26 @@
             continue
         if upstream is not None and upstream.record.state == UpstreamState.LEAVING:
             continue
-        crashed = upstream is not None and (upstream.answered or upstream.process_gone)
-        loss = UpstreamLoss(offer.job.job_id, placement.index, placement.run, crashed)
+        evidence = evidence_for_placement(upstream)
+        loss = UpstreamLoss(offer.job.job_id, placement.index, placement.run, evidence)
         losses.append(loss)
-        if upstream is not None and not crashed:
-            upstream.silent_losses.append((loss, placement.born_ms))
+        if upstream is not None and not upstream.answered:
+            upstream.unproven_losses.append((loss, placement.born_ms))
     record_losses(owner, losses, now, effects)
 
 
+def evidence_for_placement(upstream: Upstream | None) -> LossEvidence:
+    """Return what is known of an upstream whose earlier incarnation had a run.
+
+    `upstream` is None if it is not listed any more.
+    """
+    if upstream is None:
+        return LossEvidence.SILENT
+    if upstream.answered:
+        return LossEvidence.CRASHED
+    return evidence_without_answer(upstream)
+
+
 def has_answered(upstream: Upstream | None, placement: Placement) -> bool:
     """Return whether the incarnation of a placement has answered this owner."""
     return (
--- a/packages/core/carobramp_core/cells/messages.py
+++ b/packages/core/carobramp_core/cells/messages.py
@@ -79,22 +79,30 @@
     LOST = "lost"
 
 
+class LossEvidence(enum.IntEnum):
+    """What is known of an upstream whose lease has expired; later members prevail.
+
+    SILENT: it does not answer. CRASHED: nothing listens at its address, or another
+    incarnation answers. ALIVE: the same incarnation has answered again, so that it was
+    behind a network partition.
+    """
+
+    SILENT = 0
+    CRASHED = 1
+    ALIVE = 2
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamLoss:
     """The loss of an upstream on which a run of a task may have been active.
 
-    Parameters
-    ==========
-
-    run : number of the run
-    crashed : whether the upstream has crashed, by all evidence; otherwise it was silent
-        until its lease expired
+    `run` is the number of the run.
     """
 
     job_id: str
     index: int
     run: int
-    crashed: bool
+    evidence: LossEvidence
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/carobramp_core/cells/tests/support.py
+++ b/packages/core/carobramp_core/cells/tests/support.py
@@ -3,7 +3,13 @@
 from typing import Any
 
 from carobramp_core.cells.limits import CellLimits
-from carobramp_core.cells.messages import CancelJob, Job, Offer, UpstreamLoss
+from carobramp_core.cells.messages import (
+    CancelJob,
+    Job,
+    LossEvidence,
+    Offer,
+    UpstreamLoss,
+)
 from carobramp_core.cells.orders import (
     Accepted,
     ActiveRun,
@@ -52,9 +58,11 @@
     return Offer(item, **(defaults | fields))
 
 
-def loss(job_id="5c0e7a21d94b36f8", index=0, run=1, crashed=True) -> UpstreamLoss:
+def loss(
+    job_id="5c0e7a21d94b36f8", index=0, run=1, evidence=LossEvidence.CRASHED
+) -> UpstreamLoss:
     """Build the loss of an upstream under a task."""
-    return UpstreamLoss(job_id, index, run, crashed)
+    return UpstreamLoss(job_id, index, run, evidence)
 
 
 def upstream(name="i-1", **fields) -> UpstreamRecord:
--- a/packages/core/carobramp_core/cells/tests/test_losses.py
+++ b/packages/core/carobramp_core/cells/tests/test_losses.py
@@ -21,6 +21,7 @@
     CancelJob,
     Failed,
     Interrupted,
+    LossEvidence,
     NoResultReason,
     Offer,
     Placement,
@@ -80,14 +81,31 @@
     def test_silence_counts_as_crash_once_another_incarnation_answers(self):
         """Guards against crashes of a whole machine that count as partitions."""
         (lost,) = losses(self.lose_upstream(refused=False))
-        self.assertFalse(lost.crashed)
+        self.assertEqual(lost.evidence, LossEvidence.SILENT)
         (lost,) = losses(self.harness.answer_poll(born_ms=2))
-        self.assertTrue(lost.crashed)
+        self.assertEqual(lost.evidence, LossEvidence.CRASHED)
+
+    def test_partitions_of_upstreams_give_a_task_up(self):
+        """Guards against jobs that fail although no upstream has crashed."""
+        for refused in (False, True):
+            with self.subTest(refused=refused):
+                self.setUp()
+                records = CrashRecords()
+                silent = loss(run=2, evidence=LossEvidence.SILENT)
+                records.record([loss(run=1), silent], 0.0)
+                records.record(self.lose_upstream_for_a_while(refused), 0.0)
+                self.assertIsNone(records.given_up_task(JOB_ID))
+
+    def test_task_runs_alone_after_a_partition(self):
+        """Guards against tasks that wait for idle upstreams without a reason."""
+        records = CrashRecords()
+        records.record(self.lose_upstream_for_a_while(refused=True), 0.0)
+        self.assertFalse(records.is_suspect(JOB_ID, 0))
 
-    def test_partition_is_no_crash(self):
-        """Guards against a task that is given up for partitions of its upstreams."""
-        self.lose_upstream(refused=False)
-        self.assertEqual(losses(self.harness.answer_poll(born_ms=1)), [])
+    def lose_upstream_for_a_while(self, refused):
+        """Let the same incarnation answer after its lease; return all losses."""
+        effects = self.lose_upstream(refused)
+        return losses([*effects, *self.harness.answer_poll(born_ms=1)])
 
     def test_cancelled_run_counts(self):
         """Guards against crashes that are forgotten with the job's cancellation."""
@@ -104,7 +122,7 @@
     def test_restart_counts_for_each_run(self):
         """Guards against an upstream that is back before its lease is over."""
         (lost,) = losses(self.harness.answer_poll(born_ms=2))
-        self.assertTrue(lost.crashed)
+        self.assertEqual(lost.evidence, LossEvidence.CRASHED)
 
 
 class LateRestartTests(unittest.TestCase):
@@ -256,6 +274,18 @@
         """Guards against losses that a takeover invents."""
         self.assertEqual(losses(self.resume(born_ms=1)), [])
 
+    def test_partition_that_ends_after_a_takeover_counts(self):
+        """Guards against evidence of a former owner that the next one cannot clear."""
+        harness = OwnerHarness(upstream(), taken_over=True)
+        harness.fail_poll(refused=True)
+        placement = Placement(0, 7, "i-1", 1)
+        effects = harness.offer(job(), resumed=True, placements=[placement])
+        effects += harness.tick(LEASE_OVER_S + LIMITS.link_timeout_s)
+        (lost,) = losses(effects)
+        self.assertEqual(lost, loss(run=7))
+        (lost,) = losses(harness.answer_poll(born_ms=1))
+        self.assertEqual(lost, loss(run=7, evidence=LossEvidence.ALIVE))
+
     def test_adopted_run_does_not_count(self):
         """Guards against losses of runs that go on."""
         harness = OwnerHarness(upstream(), taken_over=True)
--- a/packages/core/carobramp_core/cells/upstreams.py
+++ b/packages/core/carobramp_core/cells/upstreams.py
@@ -122,9 +122,9 @@
         self.last_poll_error = ""
         # Whether the last poll showed that this incarnation is gone.
         self.process_gone = False
-        # Losses of runs here that may turn out to be crashes, each with the number of
-        # the incarnation that had the run.
-        self.silent_losses: list[tuple[UpstreamLoss, int]] = []
+        # Losses of runs here since the last answer, each with the number of the
+        # incarnation that had the run; the next answer tells whether it has crashed.
+        self.unproven_losses: list[tuple[UpstreamLoss, int]] = []
         self.missing_since: float | None = None
         self.runs: dict[RunId, Run] = {}
         # Runs that may crash the upstream; nothing starts beside them.
--- a/packages/daemon/carobramp_daemon/cells/frames.py
+++ b/packages/daemon/carobramp_daemon/cells/frames.py
@@ -9,6 +9,7 @@
     CancelJob,
     CapacityReport,
     Job,
+    LossEvidence,
     Offer,
     Placement,
     ReturnReason,
@@ -140,14 +141,15 @@
 def encode_loss(loss: UpstreamLoss) -> pb.UpstreamLoss:
     """Return the protobuf message that describes the loss of an upstream."""
     return pb.UpstreamLoss(
-        job_id=loss.job_id, index=loss.index, run=loss.run, crashed=loss.crashed
+        job_id=loss.job_id, index=loss.index, run=loss.run, evidence=loss.evidence
     )
 
 
 def decode_losses(losses) -> tuple[UpstreamLoss, ...]:
-    """Return the losses of upstreams in a field of a frame."""
+    """Return the losses in a field of a frame; unknown evidence raises `ValueError`."""
     return tuple(
-        UpstreamLoss(loss.job_id, loss.index, loss.run, loss.crashed) for loss in losses
+        UpstreamLoss(loss.job_id, loss.index, loss.run, LossEvidence(loss.evidence))
+        for loss in losses
     )
 
 
--- a/packages/daemon/carobramp_daemon/cells/owner.py
+++ b/packages/daemon/carobramp_daemon/cells/owner.py
@@ -175,7 +175,7 @@
     def send_losses(self, message: UpstreamLosses):
         """Count losses of upstreams and send them to all entries."""
         for loss in message.losses:
-            kind = "crashed" if loss.crashed else "silent"
+            kind = loss.evidence.name.lower()
             self.metrics.increment("runs_lost_with_upstream", kind)
         for link in list(self.links.values()):
             link.send(message)
