Move the admission of offered tasks to a module of its own

Change: admission.py decides which offered tasks are queued and which are returned; functions are moved, with the owner as their first argument in place of methods.

--- a/packages/core/carobramp_core/cells/event_handlers.py
+++ b/packages/core/carobramp_core/cells/event_handlers.py
@@ -6,6 +6,7 @@
 
 import functools
 
+from carobramp_core.cells.admission import return_tasks, return_unsuitable_tasks
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.losses import (
     record_answer,
@@ -105,7 +106,7 @@
         if upstream.name not in records and upstream.missing_since is None:
             upstream.missing_since = now
     owner.index_services()
-    owner.return_unsuitable_tasks(now, effects)
+    return_unsuitable_tasks(owner, now, effects)
 
 
 @on_event.register
@@ -451,7 +452,7 @@
         if ends_too_late(task, now) and task.job.job_id not in owner.runs_by_job:
             useless.setdefault(task.job.job_id, []).append(task)
     for tasks in useless.values():
-        owner.return_tasks(tasks, now, effects, ReturnReason.OVERLOADED)
+        return_tasks(owner, tasks, now, effects, ReturnReason.OVERLOADED)
     active = {task.job.job_id for task in owner.waiting}
     active.update(offer.job.job_id for _, offer, _ in owner.resumed_offers)
     active.update(owner.runs_by_job)
--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -12,10 +12,10 @@
 import functools
 from collections.abc import Iterable
 
+from carobramp_core.cells.admission import admit_tasks
 from carobramp_core.cells.crash_records import CrashRecords
 from carobramp_core.cells.event_handlers import on_event
 from carobramp_core.cells.limits import CellLimits
-from carobramp_core.cells.losses import record_placement_losses
 from carobramp_core.cells.messages import (
     CapacityReport,
     Offer,
@@ -26,7 +26,6 @@
     TasksReturned,
     TasksStarted,
     UpstreamLoss,
-    UpstreamLosses,
     UpstreamNames,
 )
 from carobramp_core.cells.orders import (
@@ -43,10 +42,7 @@
     WaitingTask,
     choose_idle_upstream,
     choose_upstream,
-    ends_too_late,
     has_free_cpu,
-    queueing_delay_s,
-    unsuitable_reason,
     urgency_key,
 )
 from carobramp_core.cells.resumed_offers import replace_resumed_offers
@@ -60,7 +56,6 @@
 RUNS_PER_TOKEN = 1 << 20
 # Number of waiting tasks that one pass tries to start; the others are less urgent.
 PLACED_PER_PASS = 64
-RETRY_AFTER_MIN_S = 0.5
 MS_PER_S = 1000
 
 
@@ -400,97 +395,7 @@
             remaining_offer = dataclasses.replace(offer, indexes=tuple(unstarted))
             self.resumed_offers.append((entry, remaining_offer, received_at))
             return
-        self.admit_tasks(entry, offer, unstarted, received_at, now, effects)
-
-    def admit_tasks(self, entry, offer: Offer, indexes, received_at, now, effects):
-        """Queue tasks of an offer; return those that must not wait here.
-
-        A job with a task that is given up is not queued; the losses that are sent
-        instead let the entry end it.
-        """
-        job = offer.job
-        record_placement_losses(self, offer, indexes, now, effects)
-        if self.crash_records.given_up_task(job.job_id) is not None:
-            losses = UpstreamLosses(self.crash_records.losses_of(job.job_id))
-            effects.append(SendToEntry(entry, losses))
-            return
-        reason = self.unsuitable_reason(job)
-        if reason is not None:
-            effects.append(
-                SendToEntry(entry, TasksReturned(job.job_id, tuple(indexes), reason))
-            )
-            return
-        tasks = [
-            self.enqueue_task(job, index, entry, received_at, offer.avoid)
-            for index in indexes
-        ]
-        if offer.committed and offer.may_wait:
-            return
-        if offer.may_wait:
-            self.return_useless_tasks(tasks, now, effects)
-            return
-        self.place_tasks(now, effects)
-        self.return_tasks([t for t in tasks if t in self.waiting], now, effects)
-
-    def unsuitable_reason(self, job) -> ReturnReason | None:
-        """Return why the cell could not run a task even if it were idle, or None.
-
-        None as well while the list of upstreams has not been read.
-        """
-        if not self.upstreams_listed:
-            return None
-        return unsuitable_reason(job, self.upstreams_by_service.get(job.service, ()))
-
-    def return_unsuitable_tasks(self, now, effects):
-        """Return the waiting tasks that no upstream could run any more.
-
-        Those of a job with runs here wait for the runs to end.
-        """
-        waiting_by_job: dict[str, list[WaitingTask]] = {}
-        for task in self.waiting:
-            if task.job.job_id not in self.runs_by_job:
-                waiting_by_job.setdefault(task.job.job_id, []).append(task)
-        for tasks in waiting_by_job.values():
-            reason = self.unsuitable_reason(tasks[0].job)
-            if reason is not None:
-                self.return_tasks(tasks, now, effects, reason)
-
-    def return_useless_tasks(self, tasks, now, effects):
-        """Return the tasks of a job that would end too late to be useful."""
-        first = tasks[0]
-        key = urgency_key(first, now)
-        ahead = [
-            w for w in self.waiting if w not in tasks and urgency_key(w, now) < key
-        ]
-        delay_s = queueing_delay_s(ahead, self.total_cpu(first.job.service, now))
-        if ends_too_late(first, now + delay_s):
-            self.return_tasks(tasks, now, effects, ReturnReason.OVERLOADED, delay_s)
-
-    def return_tasks(
-        self, tasks, now, effects, reason=ReturnReason.NO_CAPACITY, delay_s=0.0
-    ):
-        """Return waiting tasks of one job to its entry.
-
-        `delay_s` is the expected wait for capacity.
-        """
-        if not tasks:
-            return
-        self.waiting = [task for task in self.waiting if task not in tasks]
-        job_id, entry = tasks[0].job.job_id, tasks[0].entry
-        indexes = tuple(task.index for task in tasks)
-        retry_after_s = max(RETRY_AFTER_MIN_S, delay_s)
-        effects.append(
-            SendToEntry(entry, TasksReturned(job_id, indexes, reason, retry_after_s))
-        )
-        if reason != ReturnReason.NO_CAPACITY:
-            fields = {
-                "job_id": job_id,
-                "tasks": len(indexes),
-                "reason": reason,
-                "delay_s": round(delay_s, 3),
-                "waiting": len(self.waiting),
-            }
-            effects.append(LogEvent("tasks returned", fields))
+        admit_tasks(self, entry, offer, unstarted, received_at, now, effects)
 
     def total_cpu(self, service, now):
         """Return the cores of a service's answering upstreams, in thousandths."""
--- a/packages/core/carobramp_core/cells/resumed_offers.py
+++ b/packages/core/carobramp_core/cells/resumed_offers.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 
+from carobramp_core.cells.admission import admit_tasks
 from carobramp_core.cells.messages import Offer
 
 
@@ -62,4 +63,4 @@
             )
         ]
         if unstarted:
-            owner.admit_tasks(entry, offer, unstarted, received_at, now, effects)
+            admit_tasks(owner, entry, offer, unstarted, received_at, now, effects)
