Name the reason of a refusal after the cell that it comes from

Cause: a reader of offer_tasks could not tell why the last of several reasons is taken. Change: the local variable says so; no change of behaviour.

--- a/packages/core/carobramp_core/cells/entry.py
+++ b/packages/core/carobramp_core/cells/entry.py
@@ -178,8 +178,8 @@
         if not suitable:
             fields = {"job_id": open_job.job.job_id, **unsuitable}
             effects.append(LogEvent("no cell can run the job", fields))
-            reason = next(reversed(unsuitable.values()))
-            self.refuse_job(open_job, reason, RETRY_AFTER_S, now, effects)
+            last_reason = next(reversed(unsuitable.values()))
+            self.refuse_job(open_job, last_reason, RETRY_AFTER_S, now, effects)
             return
         untried = self.untried_cells(open_job)
         with_capacity = [
