Let a waiting task go on as the run of an earlier owner that is found late

Change: an adopted run takes the place of its waiting task; the entry is told where it runs. Evidence: test_owner.TakeoverTests.test_waiting_task_starts_beside_a_run_of_the_earlier_owner fails before (the task is started on i-1 beside its run on i-2) and passes after; 133 tests of cells, models and links pass. Why this works: a task is either queued or has a run. What is left: the new owner may have started the task before the earlier owner did; then it stops the adopted run at the first listing.

--- a/packages/core/carobramp_core/cells/event_handlers.py
+++ b/packages/core/carobramp_core/cells/event_handlers.py
@@ -14,7 +14,14 @@
     record_expired_lease,
     record_restart,
 )
-from carobramp_core.cells.messages import CancelJob, Offer, ReturnReason, TaskResult
+from carobramp_core.cells.messages import (
+    CancelJob,
+    Offer,
+    Placement,
+    ReturnReason,
+    TaskResult,
+    TasksStarted,
+)
 from carobramp_core.cells.orders import (
     Accepted,
     EntryLinkClosed,
@@ -28,6 +35,7 @@
     Rejected,
     RejectReason,
     RunEndKind,
+    SendToEntry,
     StartAnswered,
     StopAnswered,
     UpstreamsListed,
@@ -204,7 +212,9 @@
 def adopt_run(active_run, upstream: Upstream, owner, now, effects):
     """Adopt a run of an earlier owner, to be claimed by an entry.
 
-    The run is stopped if its task has another run.
+    The run is stopped if its task has another run. If its task waits, the run takes its
+    place: an earlier owner that has not noticed its successor may have started it on an
+    upstream that has restarted and forgotten the fencing token.
     """
     run = Run(
         active_run.run_id, upstream.name, None, None, started_at=now, progress_at=now
@@ -215,6 +225,23 @@
         owner.stop_run(run, now, effects)
         return
     owner.index_run(run)
+    for task in owner.waiting:
+        if (task.job.job_id, task.index) == (run.run_id.job_id, run.run_id.index):
+            replace_waiting_task(task, run, upstream, owner, effects)
+            return
+
+
+def replace_waiting_task(task, run: Run, upstream: Upstream, owner, effects):
+    """Let a waiting task continue as a run that has been adopted."""
+    owner.waiting = [other for other in owner.waiting if other is not task]
+    job_id, index = run.run_id.job_id, run.run_id.index
+    owner.attach_earlier_run(task.entry, task.job, index, task.received_at, effects)
+    run.stalled_runs = task.stalled_runs
+    placement = Placement(index, run.run_id.run, upstream.name, upstream.born_ms)
+    message = TasksStarted(job_id, (index,), (placement,))
+    effects.append(SendToEntry(task.entry, message))
+    fields = {"upstream": upstream.name, "job_id": job_id, "index": index}
+    effects.append(LogEvent("run of a waiting task adopted", fields))
 
 
 def compare_with_listing(run: Run, active_run, owner, requested_at, now, effects):
--- a/packages/core/carobramp_core/cells/tests/test_owner.py
+++ b/packages/core/carobramp_core/cells/tests/test_owner.py
@@ -243,6 +243,27 @@
         (end,) = messages(harness.answer_poll(ended=[done]), TaskEnded)
         self.assertEqual(end.result, TaskResult.DONE)
 
+    def test_waiting_task_starts_beside_a_run_of_the_earlier_owner(self):
+        """Guards against two runs when the earlier owner still reaches an upstream.
+
+        A restarted upstream has forgotten the fencing token of the new owner.
+        """
+        harness = OwnerHarness(upstream(), upstream("i-2"), taken_over=True)
+        for name in ("i-1", "i-2"):
+            harness.answer_poll(name)
+        others = starts(harness.offer(job("a" * 16, tasks=2, cpu=16000)))
+        item = job(target_ms=5000)
+        self.assertEqual(starts(harness.offer(item)), [])
+        late_run = ActiveRun(RunId(item.job_id, 0, 7), 1)
+        harness.answer_poll("i-2", running=[late_run], born_ms=2)
+        harness.answer_poll("i-2", running=[late_run], born_ms=2)
+        effects = harness.answer_poll("i-1", ended=[ended(others[0])])
+        self.assertEqual(starts(effects), [])
+        harness.tick(LIMITS.orphan_claim_s + 0.1)
+        effects = harness.answer_poll("i-2", ended=[ended(late_run)], born_ms=2)
+        ends = messages(effects, TaskEnded)
+        self.assertIn(TaskEnded(item.job_id, 0, TaskResult.DONE, "i-2"), ends)
+
     def test_unlisted_upstream_delays_resumed_tasks(self):
         """Guards against two runs of a task whose upstream is missing from the list.
 
