Close stale links before the first decision after a pause

Cause: an owner closes links without a recent echo at its ticks. After a pause the answer to a poll may be handled before the first tick, and tasks that wait for an entry which has given this owner up are started. Up to the length of the pause after the entry has offered them elsewhere, that is too late for the times that keep runs apart. Change: when no event was handled for two ticks, stale links are closed first, all of them in one event, as each event may start tasks. EntryLinkClosed became EntryLinksClosed with several entries. A log line tells the length of the pause. Why this works: the same rule as for messages, a stale end of a link acts on nothing, now holds for what waits at the owner. Tasks of the entry in the same process are not affected: it was paused too.

--- a/packages/core/carobramp_core/cells/event_handlers.py
+++ b/packages/core/carobramp_core/cells/event_handlers.py
@@ -24,7 +24,7 @@
 )
 from carobramp_core.cells.orders import (
     Accepted,
-    EntryLinkClosed,
+    EntryLinksClosed,
     EntryMessageReceived,
     Listing,
     LogEvent,
@@ -84,14 +84,15 @@
 
 
 @on_event.register
-def _(event: EntryLinkClosed, owner, now, effects):
-    jobs = {job for job, entry in owner.entry_by_job.items() if entry == event.entry}
-    if not jobs:
-        return
-    owner.waiting = [task for task in owner.waiting if task.job.job_id not in jobs]
-    owner.disconnected_entries[event.entry] = now + owner.limits.entry_reconnect_s
-    fields = {"entry": event.entry, "jobs": len(jobs)}
-    effects.append(LogEvent("link to an entry closed", fields))
+def _(event: EntryLinksClosed, owner, now, effects):
+    for closed in event.entries:
+        jobs = {job for job, entry in owner.entry_by_job.items() if entry == closed}
+        if not jobs:
+            continue
+        owner.waiting = [task for task in owner.waiting if task.job.job_id not in jobs]
+        owner.disconnected_entries[closed] = now + owner.limits.entry_reconnect_s
+        fields = {"entry": closed, "jobs": len(jobs)}
+        effects.append(LogEvent("link to an entry closed", fields))
 
 
 @on_event.register
--- a/packages/core/carobramp_core/cells/orders.py
+++ b/packages/core/carobramp_core/cells/orders.py
@@ -189,10 +189,10 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class EntryLinkClosed:
-    """The link to an entry has closed."""
+class EntryLinksClosed:
+    """The links to some entries have closed."""
 
-    entry: str
+    entries: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -266,7 +266,7 @@
 
 OwnerEvent = (
     EntryMessageReceived
-    | EntryLinkClosed
+    | EntryLinksClosed
     | UpstreamsListed
     | PollAnswered
     | StartAnswered
--- a/packages/core/carobramp_core/cells/tests/test_owner.py
+++ b/packages/core/carobramp_core/cells/tests/test_owner.py
@@ -11,7 +11,7 @@
 )
 from carobramp_core.cells.orders import (
     ActiveRun,
-    EntryLinkClosed,
+    EntryLinksClosed,
     Listing,
     NoAnswer,
     OwnershipLost,
@@ -284,7 +284,7 @@
         harness = OwnerHarness(upstream("i-1"), upstream("i-2"), taken_over=True)
         item = job(target_ms=5000)
         harness.offer(item, "front-1/1", resumed=True)
-        harness.handle(EntryLinkClosed("front-1/1"))
+        harness.handle(EntryLinksClosed(("front-1/1",)))
         harness.offer(item, "front-1/2", resumed=True)
         effects = [*harness.answer_poll("i-1"), *harness.answer_poll("i-2")]
         (order,) = starts([*effects, *harness.tick(0.1)])
@@ -423,7 +423,7 @@
 
     def test_runs_of_a_disconnected_entry_are_stopped(self):
         """Guards against a run that continues while its caller asks another entry."""
-        self.harness.handle(EntryLinkClosed("front-1"))
+        self.harness.handle(EntryLinksClosed(("front-1",)))
         self.assertEqual(stops(self.harness.tick(0.01)), [])
         self.assertEqual(len(stops(self.harness.tick(LIMITS.entry_reconnect_s))), 1)
 
@@ -433,7 +433,7 @@
         The upstream's lease is still renewed for other runs, so that a retry of the
         caller would run the task a second time.
         """
-        self.harness.handle(EntryLinkClosed("front-1"))
+        self.harness.handle(EntryLinksClosed(("front-1",)))
         (order,) = stops(self.harness.tick(LIMITS.entry_reconnect_s))
         sent_at = self.harness.now
         self.harness.now += LIMITS.order_timeout_s
@@ -442,7 +442,7 @@
 
     def test_run_of_a_reconnected_entry_continues(self):
         """Guards against stopping a run because a connection was reset."""
-        self.harness.handle(EntryLinkClosed("front-1"))
+        self.harness.handle(EntryLinksClosed(("front-1",)))
         self.harness.offer(self.item, entry="front-1/2", resumed=True)
         effects = self.harness.tick(LIMITS.entry_reconnect_s + 0.01)
         self.assertEqual((starts(effects), stops(effects)), ([], []))
--- a/packages/daemon/carobramp_daemon/cells/links.py
+++ b/packages/daemon/carobramp_daemon/cells/links.py
@@ -143,10 +143,14 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def is_stale(self) -> bool:
+        """Return whether no echo was received for longer than `link_timeout_s`."""
+        return now() - self.last_echo_at > self.limits.link_timeout_s
+
     def close_if_stale(self):
-        """Close the link if no echo was received for longer than `link_timeout_s`."""
-        silent_s = now() - self.last_echo_at
-        if silent_s > self.limits.link_timeout_s:
+        """Close the link if it is stale."""
+        if self.is_stale():
+            silent_s = now() - self.last_echo_at
             self.close(f"no echo from the peer for {silent_s:.3f} s")
 
 
--- a/packages/daemon/carobramp_daemon/cells/owner.py
+++ b/packages/daemon/carobramp_daemon/cells/owner.py
@@ -10,7 +10,7 @@
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import UpstreamLosses
 from carobramp_core.cells.orders import (
-    EntryLinkClosed,
+    EntryLinksClosed,
     EntryMessageReceived,
     Listing,
     LogEvent,
@@ -44,6 +44,8 @@
 # each time up to the maximum.
 POLL_RETRY_MIN_S = 0.05
 POLL_RETRY_MAX_S = 0.5
+# Time without an event, in ticks, after which this process has been paused.
+PAUSE_TICKS = 2
 
 
 class OwnerService(Service):
@@ -81,6 +83,7 @@
         self.granted_token = owner.token
         # Links to and from the entry of this process.
         self.local_links: tuple = ()
+        self.dispatched_at = now()
         self.poll_tasks: dict[str, asyncio.Task] = {}
         self.calls: set[asyncio.Task] = set()
 
@@ -137,14 +140,42 @@
     def remove_entry_link(self, entry):
         """Remove a closed link and report that to the owner."""
         if self.links.pop(entry, None) is not None:
-            self.dispatch(EntryLinkClosed(entry))
+            self.dispatch(EntryLinksClosed((entry,)))
+
+    def close_stale_links(self, paused_s):
+        """Close all stale links in one event, so that no decision falls between."""
+        stale = {
+            entry: link
+            for entry, link in self.links.items()
+            if is_remote(link) and link.is_stale()
+        }
+        if not stale:
+            return
+        for entry, link in stale.items():
+            del self.links[entry]
+            link.close_if_stale()
+        self.event_log.info(
+            "links stale after a pause",
+            cell=self.owner.cell,
+            paused_s=paused_s,
+            links=len(stale),
+        )
+        self.dispatch(EntryLinksClosed(tuple(stale)))
 
     def handle_message(self, entry, message):
         """Pass a message of an entry to the owner."""
         self.dispatch(EntryMessageReceived(entry, message))
 
     def dispatch(self, event: OwnerEvent):
-        """Pass an event to the owner and carry out the effects that it returns."""
+        """Pass an event to the owner and carry out the effects that it returns.
+
+        After a pause of this process stale links are closed first: their entries may
+        have offered their tasks to other cells.
+        """
+        paused_s = now() - self.dispatched_at
+        self.dispatched_at = now()
+        if paused_s > PAUSE_TICKS * self.limits.tick_s:
+            self.close_stale_links(paused_s)
         effects = []
         with contain_errors(self, type(event).__name__):
             effects = self.owner.handle(event, now())
--- a/packages/daemon/carobramp_daemon/tests/test_contained_errors.py
+++ b/packages/daemon/carobramp_daemon/tests/test_contained_errors.py
@@ -74,7 +74,7 @@
 
     async def test_owner_continues_after_a_failed_effect(self):
         """Guards against orders that are not sent because an earlier one failed."""
-        owner = mock.Mock()
+        owner = mock.Mock(limits=CellLimits())
         runs = [RunId("5c0e7a21d94b36f8", index, 1) for index in range(2)]
         orders = [StartOrder("i-1", "i-1:80", 1, run, "", 0, 1.0) for run in runs]
         owner.handle.return_value = orders
--- a/packages/testing/carobramp_testing/models/cell_parties.py
+++ b/packages/testing/carobramp_testing/models/cell_parties.py
@@ -11,7 +11,7 @@
 )
 from carobramp_core.cells.messages import UpstreamLosses
 from carobramp_core.cells.orders import (
-    EntryLinkClosed,
+    EntryLinksClosed,
     EntryMessageReceived,
     NoAnswer,
     OwnershipLost,
@@ -111,7 +111,7 @@
                     self.dispatch(EntryMessageReceived(name, message))
             if self.world.gives_up(link, self):
                 self.links.pop(name, None)
-                self.dispatch(EntryLinkClosed(name))
+                self.dispatch(EntryLinksClosed((name,)))
         waiting, self.unanswered = self.unanswered, []
         for order, sent_at in waiting:
             refused = self.upstreams[order.upstream].refuses_connections
