--- a/packages/testing/carobramp_testing/chaos/leased.py
+++ b/packages/testing/carobramp_testing/chaos/leased.py
@@ -50,7 +50,10 @@
     16: "an entry said that a job had not run whose start was on its way",
     23: "an owner started what an entry had given up and offered to another cell",
     109: "a new owner started a task once for each link over which it was offered",
+    644: "a replaced owner started tasks, and its successor started them again",
 }
+# Folder that keeps the logs of runs with a violation.
+FAILURE_LOGS = ".failed-runs"
 LAG_CHECK_S = 0.1
 # Time after the last fault within which every daemon serves again.
 RECOVER_S = 12.0
@@ -361,7 +364,9 @@
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--workers", type=int, default=4, help="in each zone")
     parser.add_argument("--daemons", type=int, default=2, help="in each zone")
-    parser.add_argument("--logs", help="folder that keeps the logs of a violation")
+    parser.add_argument(
+        "--logs", default=FAILURE_LOGS, help="folder that keeps the logs of a violation"
+    )
     parser.add_argument("--failed", action="store_true", help="seeds that have failed")
     options = parser.parse_args()
     seeds = tuple(FAILED_SEEDS) if options.failed else (options.seed,)
--- a/packages/testing/carobramp_testing/tests/test_leased_chaos.py
+++ b/packages/testing/carobramp_testing/tests/test_leased_chaos.py
@@ -3,11 +3,10 @@
 import asyncio
 import unittest
 
-from carobramp_testing.chaos.leased import LeasedChaos
+from carobramp_testing.chaos.leased import FAILURE_LOGS, LeasedChaos
 
 SHORT_SEED = 2
 SHORT_S = 8.0
-FAILURE_LOGS = ".failed-runs"
 COMMAND = (
     f"python -m carobramp_testing.chaos.leased --seed={SHORT_SEED} --seconds={SHORT_S}"
 )
