--- a/packages/core/carobramp_core/cells/admission.py
+++ b/packages/core/carobramp_core/cells/admission.py
@@ -20,7 +20,7 @@
 
 
 def admit_tasks(owner, entry, offer: Offer, indexes, received_at, now, effects):
-    """Queue tasks of an offer; return those that must not wait here.
+    """Queue the tasks `indexes` of an offer; return those that must not wait here.
 
     A job with a task that is given up is not queued; the losses that are sent
     instead let the entry end it.
--- a/packages/core/carobramp_core/cells/open_jobs.py
+++ b/packages/core/carobramp_core/cells/open_jobs.py
@@ -29,7 +29,8 @@
     offered_by_cell : indexes of the tasks that are offered to each cell and have
         neither ended nor been returned
     tried_cells : cells that returned tasks in the current round of offers
-    unsuitable_cells : cells whose owners could not even queue tasks, with their reasons
+    unsuitable_cells : cells that could not run a task even if they were idle, with
+        their reasons
     avoid : upstreams on which tasks of the job have failed
     done_indexes : indexes of the tasks with a result
     failure_counts : number of failed runs by index of the task
--- a/packages/core/carobramp_core/cells/tests/test_owner.py
+++ b/packages/core/carobramp_core/cells/tests/test_owner.py
@@ -255,6 +255,7 @@
         item = job(target_ms=5000)
         self.assertEqual(starts(harness.offer(item)), [])
         late_run = ActiveRun(RunId(item.job_id, 0, 7), 1)
+        # The first answer only shows the restart; the owner then asks for a listing.
         harness.answer_poll("i-2", running=[late_run], born_ms=2)
         harness.answer_poll("i-2", running=[late_run], born_ms=2)
         effects = harness.answer_poll("i-1", ended=[ended(others[0])])
--- a/packages/daemon/carobramp_daemon/cells/owner.py
+++ b/packages/daemon/carobramp_daemon/cells/owner.py
@@ -44,7 +44,7 @@
 # each time up to the maximum.
 POLL_RETRY_MIN_S = 0.05
 POLL_RETRY_MAX_S = 0.5
-# Time without an event, in ticks, after which this process has been paused.
+# Time without an event, in ticks, after which this process counts as paused.
 PAUSE_TICKS = 2
 
 
