--- a/packages/core/carobramp_core/cells/messages.py
+++ b/packages/core/carobramp_core/cells/messages.py
@@ -247,6 +247,7 @@
     CALLER_GONE = "caller_gone"
     UNKNOWN_ROUTE = "unknown_route"
     NOT_READY = "not_ready"
+    DRAINING = "draining"
     MALFORMED = "malformed"
     UNSUPPORTED = "unsupported"
 
--- a/packages/testing/carobramp_testing/tests/test_leased.py
+++ b/packages/testing/carobramp_testing/tests/test_leased.py
@@ -144,6 +144,17 @@
         self.assertEqual(owner.child.returncode, 0)
         self.assertEqual({run.how for run in self.platform.runs()}, {"done"})
 
+    async def test_jobs_of_callers_that_go_on_are_cut_at_the_end_of_a_stop(self):
+        """Guards against jobs that are accepted too late to end before the process."""
+        owner = self.deployment.owner("breda")
+        ending = asyncio.create_task(owner.end(signal.SIGTERM))
+        jobs = []
+        while not ending.done():
+            jobs.append(asyncio.create_task(self.submit(owner, tasks=1, run_ms=900)))
+            await asyncio.sleep(0.2)
+        await asyncio.gather(ending, *jobs)
+        self.assertEqual({run.how for run in self.platform.runs()}, {"done"})
+
     async def all_started(self):
         """Whether each of six tasks has started."""
         return len({run.task for run in self.platform.runs()}) == 6
