--- a/packages/core/carobramp_core/cells/tests/test_owner.py
+++ b/packages/core/carobramp_core/cells/tests/test_owner.py
@@ -630,7 +630,7 @@
         self.assertEqual(returned.reason, ReturnReason.TOO_LARGE)
 
     def test_queued_tasks_wait_on_for_upstreams_that_leave(self):
-        """Guards against tasks that wait for the notice to be over."""
+        """Guards against tasks that wait until their upstreams have left."""
         (returned,) = self.list_changed(state=UpstreamState.LEAVING)
         self.assertEqual(returned.reason, ReturnReason.NO_SERVICE)
 
