--- a/review/3/case.py
+++ b/review/3/case.py
@@ -15,6 +15,9 @@
 RUN_MS = 3000
 LATE_SHARE = 0.5
 LATE_FOR_S = 4.0
+# Between two jobs; the last ones start just before the daemons are killed, so that the
+# leases of all workers last for almost a second.
+JOB_INTERVAL_S = 0.0125
 
 
 async def play(deployment, number):
@@ -32,7 +35,7 @@
         job_id = f"5c0e7a21{number:04x}{index:04x}"
         job = harness.job(1, RUN_MS, cpu=2000)
         clients.append(asyncio.create_task(deployment.submit(tries, job_id, job)))
-    await asyncio.sleep(0.3)
+        await asyncio.sleep(JOB_INTERVAL_S)
     if harness.TROUBLE:
         for worker in west:
             worker.late_share = LATE_SHARE
