--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -205,6 +205,15 @@
         self.background: list[asyncio.Task] = []
 
     async def __aenter__(self):
+        """Start everything; end it again if the daemons don't get ready."""
+        try:
+            await self.start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def start(self):
         """Start everything and wait until every daemon is linked to every cell."""
         await self.store.start()
         for worker in self.workers.values():
@@ -228,7 +237,6 @@
             await daemon.start()
         await self.wait_until(self.all_linked, "not every daemon got ready")
         self.record.write("all daemons are ready")
-        return self
 
     async def __aexit__(self, *_):
         """End every process that was started."""
@@ -295,6 +303,9 @@
         """Whether every daemon is ready and linked to every cell with workers."""
         cells = len({worker.zone for worker in self.workers.values()})
         for daemon in self.daemons.values():
+            if daemon.process is not None and daemon.process.returncode is not None:
+                last = daemon.log.read_text().strip().rpartition("\n")[2]
+                raise CannotRun(f"{daemon.name} has ended: {last}")
             if not await self.ready(daemon):
                 return False
             text = await self.metrics(daemon)
