--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -35,6 +35,7 @@
 RESEND_S = 1.3
 RESTART_S = 0.5
 READY_TIMEOUT_S = 30.0
+MAX_RUN_S = 110.0
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 LOST_ANSWERS = (0, 502, 504)
 REJECTIONS = (429, 503)
@@ -441,11 +442,21 @@
     raise CannotRun("no free loopback addresses")
 
 
+async def run_until_signalled(script):
+    """Run a script; a signal to end it, or too long a run, ends its processes too."""
+    running = asyncio.create_task(script())
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, running.cancel)
+    async with asyncio.timeout(MAX_RUN_S):
+        return await running
+
+
 def main(script):
     """Run a script's coroutine and exit with its result."""
     try:
-        status = asyncio.run(asyncio.wait_for(script(), 110))
-    except (CannotRun, TimeoutError, OSError) as error:
+        status = asyncio.run(run_until_signalled(script))
+    except (CannotRun, TimeoutError, OSError, asyncio.CancelledError) as error:
         print(f"the case could not run: {error!r}")
         status = NOT_RUN
     sys.exit(status)
--- a/review/standins/late_worker.py
+++ b/review/standins/late_worker.py
@@ -4,6 +4,7 @@
 import random
 import types
 
+from aiohttp import web
 from carobramp_testing.standins.leased import Worker
 
 LATE_S = (2.0, 12.0)
@@ -18,7 +19,10 @@
     late_share : share of the orders that get no answer and are carried out late
     """
 
-    late_share = 0.0
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        self.late_share = 0.0
+        self.late_orders: set[asyncio.Task] = set()
 
     async def on_start(self, request):
         """Start a run, now or late."""
@@ -33,27 +37,28 @@
         if random.random() >= self.late_share:
             return await carry_out(request)
         body = await request.json()
-        order = types.SimpleNamespace(headers=request.headers.copy())
-        order.json = make_json(body)
-        self.late_orders = getattr(self, "late_orders", set())
-        task = asyncio.create_task(self.later(carry_out, order))
+
+        async def read():
+            return body
+
+        order = types.SimpleNamespace(headers=request.headers.copy(), json=read)
+        task = asyncio.create_task(self.carry_out_late(carry_out, order))
         self.late_orders.add(task)
         task.add_done_callback(self.late_orders.discard)
-        await asyncio.Event().wait()
+        # The connection stays open until the daemon gives the order up.
+        return await asyncio.Event().wait()
 
-    async def later(self, carry_out, order):
+    async def carry_out_late(self, carry_out, order):
         """Carry out an order late; its answer reaches nobody."""
         await asyncio.sleep(random.uniform(*LATE_S))
         try:
             await carry_out(order)
-        except Exception:  # An order for another incarnation is refused.
+        except web.HTTPException:
+            # Another incarnation refuses the order.
             return
 
-
-def make_json(body):
-    """Return a coroutine function that returns a body."""
-
-    async def read():
-        return body
-
-    return read
+    async def stop(self):
+        """Stop for good, with the orders that are still to come."""
+        for task in tuple(self.late_orders):
+            task.cancel()
+        await super().stop()
