--- a/review/1/case.py
+++ b/review/1/case.py
@@ -57,7 +57,7 @@
         owner.send(signal.SIGSTOP)
     job = harness.job(2, RUN_MS)
     client = asyncio.create_task(
-        deployment.submit((entry, second), f"5c0e7a21d94b{number:04x}", job)
+        deployment.submit((entry, second), f"5c0e7a21d94b{number:03x}a", job)
     )
     await asyncio.sleep(KILL_AFTER_S)
     if harness.TROUBLE:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -32,7 +32,7 @@
     clients = []
     for index in range(JOBS):
         tries = (by_zone["west"][index % 2], by_zone["east"][index % 2])
-        job_id = f"5c0e7a21{number:04x}{index:04x}"
+        job_id = f"5c0e7a21{number:03x}{index:04x}a"
         job = harness.job(1, RUN_MS, cpu=2000)
         clients.append(asyncio.create_task(deployment.submit(tries, job_id, job)))
         await asyncio.sleep(JOB_INTERVAL_S)
