Deliver no frames over a link that this end has closed

Callers saw: tasks ran twice at one time.

Cause: FrameLink.close aborts the transport, and asyncio reports the lost connection in a later turn of the event loop. Until then the link counted as open, so that every buffered frame of a stale link still took effect.

Evidence: the transport of test_links.py reported the lost connection within abort, which those of asyncio never do. With a transport that reports it later, 4 of 8 tests failed on the code before: test_frame_from_before_a_pause_is_dropped received the frames of the pause, test_closed_link_delivers_the_frames_that_it_has_buffered, test_closed_link_sends_frames, test_link_that_was_closed_while_connecting_stays_open.

Why this works: close drops the reference to the transport, which each path that sends or delivers a frame checks. The owner logs why the connection of an entry has closed.

--- a/packages/daemon/carobramp_daemon/cells/links.py
+++ b/packages/daemon/carobramp_daemon/cells/links.py
@@ -52,6 +52,8 @@
     Attributes
     ==========
 
+    transport : None before the connection is made and once this end has closed it;
+        frames are neither sent nor delivered then
     last_received_at : time at which the last frame was received
     last_echo_at : newest time of this end that the peer has echoed
     newest_peer_time : newest time of the peer, which frames of this end echo
@@ -71,8 +73,11 @@
         self.close_reason = ""
 
     def connection_made(self, transport):
-        """Store the transport of the connection."""
-        self.transport = transport
+        """Store the transport, or close it if this end has closed the link already."""
+        if self.close_reason:
+            transport.abort()
+        else:
+            self.transport = transport
 
     def connection_lost(self, exc):
         """Report the end of the connection and its reason to `on_closed`."""
@@ -138,10 +143,14 @@
             self.close("write buffer full: the peer does not read")
 
     def close(self, reason):
-        """Close the link at once; bytes that were not sent yet are dropped."""
+        """Close the link at once; bytes that were not sent or read yet are dropped.
+
+        `on_closed` is called in a later turn of the event loop.
+        """
         self.close_reason = self.close_reason or reason
-        if self.transport is not None:
-            self.transport.abort()
+        transport, self.transport = self.transport, None
+        if transport is not None:
+            transport.abort()
 
     def is_stale(self) -> bool:
         """Return whether no echo was received for longer than `link_timeout_s`."""
@@ -317,6 +326,12 @@
         registered = self.links.pop(link, None)
         if registered is not None:
             service, entry = registered
+            service.event_log.info(
+                "connection of an entry closed",
+                cell=service.owner.cell,
+                entry=entry,
+                reason=reason,
+            )
             service.remove_entry_link(entry)
 
     def close_stale(self):
--- a/packages/daemon/carobramp_daemon/tests/test_links.py
+++ b/packages/daemon/carobramp_daemon/tests/test_links.py
@@ -12,11 +12,16 @@
 
 
 class RecordingTransport:
-    """Transport that records what is written to it."""
+    """Transport that records what is written to it.
+
+    As with the transports of asyncio, a link learns of an aborted connection only in a
+    later turn of the event loop, here when the test calls `run_scheduled`.
+    """
 
     def __init__(self, link):
         self.link = link
         self.written = bytearray()
+        self.scheduled = []
 
     def write(self, data):
         """Record bytes."""
@@ -27,8 +32,14 @@
         return 0
 
     def abort(self):
-        """Report a closed connection to the link."""
-        self.link.connection_lost(None)
+        """Schedule the report of the closed connection; later calls do nothing."""
+        if not self.scheduled:
+            self.scheduled.append(self.link.connection_lost)
+
+    def run_scheduled(self):
+        """Report the closed connection to the link."""
+        for connection_lost in self.scheduled:
+            connection_lost(None)
 
 
 class FrameLinkTests(unittest.TestCase):
@@ -78,12 +89,38 @@
         entry has closed the link by then and offered the tasks to another cell.
         """
         self.link.data_received(self.frame("a"))
-        late_frame = self.frame("b")
+        late_frames = self.frame("b") + self.frame("c")
         self.time += LIMITS.link_timeout_s + 0.1
-        self.link.data_received(late_frame)
+        self.link.data_received(late_frames)
+        self.link.data_received(late_frames)
+        self.transport.run_scheduled()
         self.assertEqual(self.received, [CancelJob("a")])
         self.assertEqual(len(self.close_reasons), 1)
 
+    def test_closed_link_delivers_the_frames_that_it_has_buffered(self):
+        """Guards against frames that take effect after their link was closed."""
+        self.link.on_frame = lambda link, frame: (
+            self.received.append(frames.decode(frame)),
+            link.close("the cell has another owner"),
+        )
+        self.link.data_received(self.frame("a") + self.frame("b"))
+        self.assertEqual(self.received, [CancelJob("a")])
+
+    def test_closed_link_sends_frames(self):
+        """Guards against writes to a connection that is being closed."""
+        self.link.close("the cell has another owner")
+        self.link.write_frame(links.HEARTBEAT_FRAME)
+        self.assertEqual(self.transport.written, b"")
+
+    def test_link_that_was_closed_while_connecting_stays_open(self):
+        """Guards against a connection that outlives the use of its link."""
+        link = links.FrameLink(mock.Mock(), mock.Mock(), LIMITS)
+        transport = RecordingTransport(link)
+        link.close("the daemon is stopping")
+        link.connection_made(transport)
+        transport.run_scheduled()
+        link.on_closed.assert_called_once_with(link, "the daemon is stopping")
+
     def test_link_without_new_echoes_is_closed(self):
         """Guards against an owner that serves an entry without reaching it.
 
@@ -95,6 +132,7 @@
         while not self.close_reasons and self.time < last_echo + 2:
             self.time += LIMITS.heartbeat_s
             self.link.data_received(self.frame("a", echo=last_echo))
+            self.transport.run_scheduled()
         closed_after = self.time - last_echo
         self.assertLessEqual(closed_after, LIMITS.link_timeout_s + LIMITS.heartbeat_s)
 
@@ -104,4 +142,5 @@
             self.link.data_received(self.frame("a", echo))
         self.time += LIMITS.link_timeout_s + 0.1
         self.link.close_if_stale()
+        self.transport.run_scheduled()
         self.assertEqual(len(self.close_reasons), 1)
