Start no tasks of an entry whose link is closed

Cause: an owner checked the link of an entry when it received a message, and not when it acted on it. Between the closing of a link and the release of its jobs 0.15 s later it handled a message that had passed the link before a pause, started a task whose run was lost, and started a resumed offer whose earlier runs were resolved. A result of that time was sent to nobody, so that the task ran again when its entry was back.

Why this works: the owner service drops messages of entries without an open link after it has closed the stale ones; the state machine keeps results and resumed offers of a disconnected entry until it is back or its jobs are released, and queues nothing again for it.

--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -233,11 +233,13 @@
     def finish_run(self, run: Run, result: TaskResult, now, effects):
         """Remove a run that is over, then report its result or queue its task again.
 
-        The result of a run for which no entry waits is kept for a later offer.
+        The result of a run for which no connected entry waits is kept for a later
+        offer.
         """
         self.remove_run(run)
         key = run.run_id.job_id, run.run_id.index
-        if run.entry is None or run.job is None:
+        disconnected = run.entry in self.disconnected_entries
+        if run.entry is None or run.job is None or disconnected:
             self.results[key] = (result, run.upstream, now)
             return
         given_up = self.crash_records.given_up_task(run.run_id.job_id) is not None
--- a/packages/core/carobramp_core/cells/resumed_offers.py
+++ b/packages/core/carobramp_core/cells/resumed_offers.py
@@ -49,10 +49,14 @@
 
 
 def resume_offers(owner, now, effects):
-    """Handle the resumed offers whose earlier runs are now resolved."""
+    """Handle the resumed offers whose earlier runs are now resolved.
+
+    Those of a disconnected entry are kept until it is back or its jobs are released.
+    """
     resumed_offers, owner.resumed_offers = owner.resumed_offers, []
     for entry, offer, received_at in resumed_offers:
-        if not owner.earlier_runs_resolved(offer.members, now):
+        disconnected = entry in owner.disconnected_entries
+        if disconnected or not owner.earlier_runs_resolved(offer.members, now):
             owner.resumed_offers.append((entry, offer, received_at))
             continue
         unstarted = [
--- a/packages/core/carobramp_core/cells/tests/test_owner.py
+++ b/packages/core/carobramp_core/cells/tests/test_owner.py
@@ -448,6 +448,38 @@
         effects = self.harness.tick(LIMITS.entry_reconnect_s + 0.01)
         self.assertEqual((starts(effects), stops(effects)), ([], []))
 
+    def test_task_of_a_disconnected_entry_starts_when_its_run_is_lost(self):
+        """Guards against a start after the entry has offered the task elsewhere."""
+        harness = OwnerHarness(upstream())
+        harness.answer_poll()
+        (order,) = starts(harness.offer(job(target_ms=5000)))
+        harness.lose_start(order)
+        harness.handle(EntryLinksClosed(("front-1",)))
+        lost = harness.answer_poll(ended=[ended(order, RunEndKind.LEASE_EXPIRED)])
+        later = harness.tick(LIMITS.entry_reconnect_s / 2)
+        self.assertEqual(starts([*lost, *later]), [])
+
+    def test_resumed_offer_of_a_disconnected_entry_starts(self):
+        """Guards against a start after the entry has offered the task elsewhere."""
+        harness = OwnerHarness(upstream("i-1"), upstream("i-2"), taken_over=True)
+        item = job(target_ms=5000)
+        harness.answer_poll("i-1")
+        harness.offer(item, "front-1/1", resumed=True)
+        harness.handle(EntryLinksClosed(("front-1/1",)))
+        effects = [*harness.answer_poll("i-2"), *harness.tick()]
+        self.assertEqual(starts(effects), [])
+        back = harness.offer(item, "front-1/2", resumed=True)
+        self.assertEqual(len(starts(back)), 1)
+
+    def test_result_for_a_disconnected_entry_is_lost(self):
+        """Guards against a second run of a task that ended while its entry was away."""
+        self.harness.handle(EntryLinksClosed(("front-1",)))
+        self.harness.answer_poll(ended=[ended(self.order)])
+        effects = self.harness.offer(self.item, entry="front-1/2", resumed=True)
+        self.assertEqual(starts(effects), [])
+        (end,) = messages(effects, TaskEnded)
+        self.assertEqual(end.result, TaskResult.DONE)
+
     def test_runs_stop_before_the_caller_retries(self):
         """Guards against two runs of a task when a caller asks another entry."""
         stopped_s = LIMITS.link_timeout_s + LIMITS.entry_reconnect_s + LIMITS.run_stop_s
--- a/packages/daemon/carobramp_daemon/cells/owner.py
+++ b/packages/daemon/carobramp_daemon/cells/owner.py
@@ -170,12 +170,21 @@
         """Pass an event to the owner and carry out the effects that it returns.
 
         After a pause of this process stale links are closed first: their entries may
-        have offered their tasks to other cells.
+        have offered their tasks to other cells. A message of an entry without an open
+        link is dropped, as nothing would end the runs that it leads to.
         """
         paused_s = now() - self.dispatched_at
         self.dispatched_at = now()
         if paused_s > PAUSE_TICKS * self.limits.tick_s:
             self.close_stale_links(paused_s)
+        if isinstance(event, EntryMessageReceived) and event.entry not in self.links:
+            self.event_log.info(
+                "message of a disconnected entry dropped",
+                cell=self.owner.cell,
+                entry=event.entry,
+                kind=type(event.message).__name__,
+            )
+            return
         effects = []
         with contain_errors(self, type(event).__name__):
             effects = self.owner.handle(event, now())
--- a/packages/daemon/carobramp_daemon/tests/test_paused_owner.py
+++ b/packages/daemon/carobramp_daemon/tests/test_paused_owner.py
@@ -60,6 +60,21 @@
         self.harness.now += LIMITS.link_timeout_s + 1.0
         self.assertEqual(self.end_first_task(), [])
 
+    def test_paused_owner_accepts_an_offer_of_a_link_that_it_has_just_closed(self):
+        """Guards against runs that belong to no link, so that nothing stops them.
+
+        The process was paused between the receipt of the offer and its handling.
+        """
+        self.end_first_task()
+        self.carried_out.clear()
+        self.harness.now += LIMITS.link_timeout_s + 1.0
+        late = offer(job("f" * 16, target_ms=9000))
+        self.service.handle_message(ENTRIES[0], late)
+        self.harness.answer_poll()
+        self.service.dispatch(OwnerTick())
+        self.assertEqual(starts(self.carried_out), [])
+        self.assertNotIn("f" * 16, self.harness.owner.entry_by_job)
+
     def test_link_with_a_recent_echo_is_kept(self):
         """Guards against tasks that are dropped although their entry is connected."""
         self.harness.now += LIMITS.link_timeout_s + 1.0
