Count the lease of the earlier owner when a run is adopted

Callers saw: tasks could run twice when an upstream was lost just after a takeover.

Cause: a new owner knew only the leases that it had granted itself. The earlier owner may have renewed the lease until the adoption, so that the run lasts a whole lease longer. The run counted as over when the shorter lease had expired.

Evidence: test_adopted_run_counts_as_over_while_its_earlier_lease_lasts failed on the code before: reported as lost at 100.65 s, while the earlier lease lasts until 101.0.

Why this works: an adoption extends the known lease by the longest one that the platform grants. Fencing ends renewals by the earlier owner at that moment.

test_paused_owner_does_not_prolong_an_unclaimed_run read what the owner had granted from the field that now includes the earlier lease. It reads the deadlines of the poll orders instead; the bound is the same, without its allowance for clock drift.

--- a/packages/core/carobramp_core/cells/event_handlers.py
+++ b/packages/core/carobramp_core/cells/event_handlers.py
@@ -222,6 +222,7 @@
     )
     run.phase = RunPhase.RUNNING
     upstream.add_run(run)
+    upstream.record_unknown_lease(now)
     if (run.run_id.job_id, run.run_id.index) in owner.runs:
         owner.stop_run(run, now, effects)
         return
--- a/packages/core/carobramp_core/cells/tests/test_owner.py
+++ b/packages/core/carobramp_core/cells/tests/test_owner.py
@@ -345,14 +345,29 @@
         harness.answer_poll(running=[ActiveRun(RunId("0" * 16, 0, 7), 40)])
         state = harness.owner.upstreams["i-1"]
         for _ in range(3):
-            harness.owner.next_poll("i-1", harness.now)
-            latest = adopted_at + LIMITS.unclaimed_lease_s()
-            drift_s = LIMITS.lease_s - LIMITS.lease_s * (1 - CLOCK_DRIFT)
-            self.assertLessEqual(state.leased_until, latest + drift_s)
+            order = harness.owner.next_poll("i-1", harness.now)
+            latest_s = adopted_at + LIMITS.unclaimed_lease_s() - harness.now
+            latest_ms = state.estimated_clock_ms(harness.now) + latest_s * 1000
+            self.assertLessEqual(order.deadline_ms, latest_ms)
             harness.now += LIMITS.busy_poll_wait_s
         harness.now = adopted_at + LIMITS.lease_s
         self.assertIsNone(harness.owner.next_poll("i-1", harness.now).deadline_ms)
 
+    def test_adopted_run_counts_as_over_while_its_earlier_lease_lasts(self):
+        """Guards against two runs when an upstream is lost just after a takeover.
+
+        The earlier owner may have renewed the lease just before the adoption.
+        """
+        harness = OwnerHarness(upstream(), taken_over=True)
+        earlier_lease_end = harness.now + LIMITS.lease_s
+        harness.answer_poll(running=[ActiveRun(RunId("0" * 16, 0, 7), 40)])
+        harness.fail_poll()
+        harness.offer(job("0" * 16, target_ms=9000), resumed=True)
+        lost = []
+        while not lost:
+            lost = messages(harness.tick(LIMITS.tick_s), TaskEnded)
+        self.assertGreater(harness.now, earlier_lease_end)
+
     def test_claimed_run_gets_the_whole_lease(self):
         """Guards against adopted runs that end although an entry has claimed them."""
         harness = OwnerHarness(upstream(), taken_over=True)
--- a/packages/core/carobramp_core/cells/upstreams.py
+++ b/packages/core/carobramp_core/cells/upstreams.py
@@ -195,6 +195,11 @@
         expires_at = self.clock_at + duration_s + CLOCK_ROUNDING_S
         self.leased_until = max(self.leased_until, expires_at)
 
+    def record_unknown_lease(self, now):
+        """Extend `leased_until` for a lease of another owner that may be new."""
+        expires_at = now + self.limits.lease_expiry_s()
+        self.leased_until = max(self.leased_until, expires_at)
+
     def record_clock(self, clock_ms, now):
         """Record the clock that an answer reported, received at time `now`."""
         self.clock_ms = clock_ms
