End leases beside runs that must be over

Cause: an upstream has one lease for all its runs, and each poll renewed it although a run there had to be over. Only unclaimed runs limited it, and only until their stop was ordered; the limit of 0.6 s from the adoption also lay beyond the time at which callers of a lost entry ask again when a cell was taken over late. On related paths, runs of a lost entry and of cancelled jobs did not limit the lease at all.

The model of cells has the fault "lose_stops"; without the limits it breaks "no two runs of a task at one time" by lose_stops, kill_entry.

Why this works: the end of a lease is certain where a stop order is not. Each run that must be over by some time limits the lease of its upstream until it is claimed or over. The time is counted from the last sign of life of what was lost. Daemons report how long they have not heard an owner (OwnerAnswer.owner_silence_ms), as a restarted one does not know. No task starts where the lease must end within 0.5 s.

test_cells: the mutant without the release of lost entries is no longer broken by itself, as leases end too. It lacks both now, and a new mutant lacks the limits only.

--- a/packages/core/carobramp_core/cells/claims.py
+++ b/packages/core/carobramp_core/cells/claims.py
@@ -12,6 +12,7 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Iterable
 from typing import Protocol
 
@@ -52,6 +53,8 @@
     peers_answered : number of other daemons that answered whether they have a live
         link to the owner
     peers_hearing_owner : number of those that have one
+    least_peer_silence_s : shortest time since one of those last heard the owner;
+        infinite if none ever has
     uptime_s : time since this daemon started
     draining : whether this daemon is about to stop
     """
@@ -65,6 +68,7 @@
     peers_hearing_owner: int
     uptime_s: float
     draining: bool = False
+    least_peer_silence_s: float = math.inf
 
 
 def claim_delay_s(view: ClaimView) -> float:
--- a/packages/core/carobramp_core/cells/event_handlers.py
+++ b/packages/core/carobramp_core/cells/event_handlers.py
@@ -7,8 +7,8 @@
 import functools
 
 from carobramp_core.cells.admission import return_tasks, return_unsuitable_tasks
-from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.losses import (
+    log_lost_runs,
     record_answer,
     record_evidence,
     record_expired_lease,
@@ -80,18 +80,23 @@
 @on_message.register
 def _(message: CancelJob, entry, owner, now, effects):
     if owner.entry_by_job.get(message.job_id) == entry:
+        latest_end = now + owner.limits.lease_end_after_cancel_s()
+        owner.limit_leases_of_job(message.job_id, latest_end)
         owner.release_job(message.job_id, now, effects)
 
 
 @on_event.register
 def _(event: EntryLinksClosed, owner, now, effects):
-    for closed in event.entries:
-        jobs = {job for job, entry in owner.entry_by_job.items() if entry == closed}
+    for link in event.links:
+        jobs = {job for job, name in owner.entry_by_job.items() if name == link.entry}
         if not jobs:
             continue
         owner.waiting = [task for task in owner.waiting if task.job.job_id not in jobs]
-        owner.disconnected_entries[closed] = now + owner.limits.entry_reconnect_s
-        fields = {"entry": closed, "jobs": len(jobs)}
+        owner.disconnected_entries[link.entry] = now + owner.limits.entry_reconnect_s
+        latest_end = link.last_echo_at + owner.limits.lease_end_before_retry_s()
+        for job_id in jobs:
+            owner.limit_leases_of_job(job_id, latest_end)
+        fields = {"entry": link.entry, "jobs": len(jobs)}
         effects.append(LogEvent("link to an entry closed", fields))
 
 
@@ -223,6 +228,7 @@
     run.phase = RunPhase.RUNNING
     upstream.add_run(run)
     upstream.record_unknown_lease(now)
+    owner.limit_unclaimed_lease(run, now)
     if (run.run_id.job_id, run.run_id.index) in owner.runs:
         owner.stop_run(run, now, effects)
         return
@@ -427,8 +433,11 @@
 @on_event.register
 def _(event: OwnerTick, owner, now, effects):
     for upstream in list(owner.upstreams.values()):
-        if upstream.suspect and upstream.runs and now > upstream.leased_until:
-            record_expired_lease(owner, upstream, now, effects)
+        if upstream.runs and is_lease_over(upstream, now):
+            if upstream.suspect:
+                record_expired_lease(owner, upstream, now, effects)
+            else:
+                log_lost_runs(upstream, "lease limited", effects)
             for run in list(upstream.runs.values()):
                 owner.finish_run(run, TaskResult.LOST, now, effects)
         if is_gone(upstream, now):
@@ -436,20 +445,34 @@
             owner.remove_upstream(upstream, now, effects)
             continue
         for run in list(upstream.runs.values()):
-            if is_unclaimed(run, owner.limits, now):
+            if is_unclaimed(run, upstream, now):
                 owner.stop_run(run, now, effects)
     release_disconnected_entries(owner, now, effects)
     remove_expired(owner, now, effects)
     resume_offers(owner, now, effects)
 
 
-def is_unclaimed(run: Run, limits: CellLimits, now) -> bool:
+def is_lease_over(upstream: Upstream, now) -> bool:
+    """Return whether the lease of an upstream was not renewed and has expired.
+
+    An upstream that answers lists the ends of its runs itself, unless renewals have
+    ended because of a limit: a later poll may be lost then without being noticed.
+    """
+    renewals_ended = upstream.suspect or upstream.lease_limit() <= now
+    return renewals_ended and now > upstream.leased_until
+
+
+def is_unclaimed(run: Run, upstream: Upstream, now) -> bool:
     """Return whether no entry has claimed a run of an earlier owner in time.
 
-    A run that is already being stopped does not count.
+    The time ends early enough for the run to be stopped before the leases beside it
+    end. A run that is already being stopped does not count.
     """
-    overdue = now - run.started_at > limits.orphan_claim_s
-    return run.job is None and overdue and run.phase != RunPhase.STOPPING
+    if run.job is not None or run.phase == RunPhase.STOPPING:
+        return False
+    limits = upstream.limits
+    stop_by = upstream.lease_limits[run.run_id] - limits.stop_allowance_s()
+    return now - run.started_at > limits.orphan_claim_s or now > stop_by
 
 
 def release_disconnected_entries(owner, now, effects):
--- a/packages/core/carobramp_core/cells/limits.py
+++ b/packages/core/carobramp_core/cells/limits.py
@@ -28,6 +28,8 @@
     poll_margin_s : time after its wait at which a poll counts as unanswered; two
         unanswered polls in a row must fit into the lease
     run_stop_s : time that an upstream takes to stop a run
+    start_lease_min_s : shortest lease with which a run is started; it must outlast
+        the polls that renew it
     link_timeout_s : age of the newest echo at which a link between entry and owner
         is closed as stale; four heartbeats
     heartbeat_s : interval of heartbeats on a link
@@ -47,6 +49,7 @@
     order_timeout_s: float = 0.06
     poll_margin_s: float = 0.1
     run_stop_s: float = 0.05
+    start_lease_min_s: float = 0.5
     link_timeout_s: float = 0.4
     heartbeat_s: float = 0.1
     tick_s: float = 0.05
@@ -63,11 +66,41 @@
 
         An owner that works as planned stops an unclaimed run after `orphan_claim_s` and
         polls its upstream again before this time. Leases that end then also end the run
-        if the owner is paused meanwhile: the entry may have given the job up by then
-        and have started its tasks in another cell.
+        if the owner is paused meanwhile or its stop orders are lost: the entry may have
+        given the job up by then and have started its tasks in another cell.
         """
         return self.orphan_claim_s + self.busy_poll_wait_s + self.poll_margin_s
 
+    def lease_end_before_retry_s(self) -> float:
+        """Return the time from the loss of an entry to the end of its runs' leases.
+
+        The caller of a lost entry sends its job again after `caller_retry_s`, and a
+        lease lasts longer by the drift of the upstream's clock. The time that a stop
+        takes remains for the delay with which the loss is noticed.
+        """
+        lasting_s = self.caller_retry_s - self.run_stop_s
+        return lasting_s * (1 - CLOCK_DRIFT) - CLOCK_ROUNDING_S
+
+    def lease_end_after_takeover_s(self) -> float:
+        """Return the time from an owner's last sign of life to the end of its leases.
+
+        An entry that was lost that much earlier may still have had runs, as an owner
+        stops them after `entry_reconnect_s`.
+        """
+        release_s = self.entry_reconnect_s + self.tick_s
+        return self.lease_end_before_retry_s() - release_s
+
+    def lease_end_after_cancel_s(self) -> float:
+        """Return the time from the receipt of a cancellation to the end of the leases.
+
+        The entry may have sent the cancellation `link_timeout_s` earlier.
+        """
+        return self.lease_end_before_retry_s() - self.link_timeout_s
+
+    def stop_allowance_s(self) -> float:
+        """Return the time in which a stop order and its repetition take effect."""
+        return 2 * self.order_timeout_s + self.run_stop_s
+
     def run_end_after_link_loss_s(self) -> float:
         """Return the time from a link's last message until its runs have ended.
 
--- a/packages/core/carobramp_core/cells/orders.py
+++ b/packages/core/carobramp_core/cells/orders.py
@@ -188,11 +188,22 @@
     message: ToOwner
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClosedLink:
+    """The closed link of an entry.
+
+    The entry had received what the owner sent at `last_echo_at` and was alive then.
+    """
+
+    entry: str
+    last_echo_at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntryLinksClosed:
     """The links to some entries have closed."""
 
-    entries: tuple[str, ...]
+    links: tuple[ClosedLink, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -10,6 +10,7 @@
 
 import dataclasses
 import functools
+import math
 from collections.abc import Iterable
 
 from carobramp_core.cells.admission import admit_tasks
@@ -70,6 +71,8 @@
         carry a token derived from it, see `Upstream.fencing_token`
     taken_over : whether an earlier owner may have left runs behind
     losses : losses of upstreams that the daemon of this owner knows
+    predecessor_heard_at : time at which some daemon last heard the earlier owner, at
+        most; entries may have been lost with it. Minus infinity if no daemon has
     """
 
     def __init__(
@@ -80,12 +83,14 @@
         now,
         taken_over=True,
         losses: Iterable[UpstreamLoss] = (),
+        predecessor_heard_at=-math.inf,
     ):
         self.cell = cell
         self.token = token
         self.limits = limits
         self.owned_since = now
         self.taken_over = taken_over
+        self.predecessor_heard_at = predecessor_heard_at
         self.start_count = 0
         self.upstreams: dict[str, Upstream] = {}
         # Whether the list of upstreams has been read.
@@ -196,7 +201,7 @@
         upstream.add_run(run)
         self.index_run(run)
         deadline_ms = upstream.lease_deadline_ms(now)
-        assert deadline_ms is not None, "no run starts beside an unclaimed one"
+        assert deadline_ms is not None, "runs start only where leases are renewed"
         upstream.record_lease(deadline_ms)
         effects.append(
             StartOrder(
@@ -270,6 +275,23 @@
             )
         )
 
+    def limit_unclaimed_lease(self, run: Run, now):
+        """Limit the leases beside an adopted run until an entry claims it.
+
+        Its entry may have been lost with the earlier owner or shortly before; the
+        caller then sends the job again at a time that the adoption does not put off.
+        """
+        latest_end = min(
+            now + self.limits.unclaimed_lease_s(),
+            self.predecessor_heard_at + self.limits.lease_end_after_takeover_s(),
+        )
+        self.upstreams[run.upstream].limit_lease(run, latest_end)
+
+    def limit_leases_of_job(self, job_id, latest_end):
+        """Limit the leases beside the runs of a job that its entry may give up."""
+        for run in self.runs_by_job.get(job_id, ()):
+            self.upstreams[run.upstream].limit_lease(run, latest_end)
+
     # Tasks
 
     def enqueue_task(self, job, index, entry, received_at, avoid):
--- a/packages/core/carobramp_core/cells/tests/support.py
+++ b/packages/core/carobramp_core/cells/tests/support.py
@@ -13,7 +13,9 @@
 from carobramp_core.cells.orders import (
     Accepted,
     ActiveRun,
+    ClosedLink,
     EndedRun,
+    EntryLinksClosed,
     EntryMessageReceived,
     Listing,
     NoAnswer,
@@ -82,14 +84,28 @@
 class OwnerHarness:
     """Drives an owner and simulates its upstreams; `now` is the current time.
 
-    Its methods return the effects of the event that they give to the owner.
+    The earlier owner was last heard at `heard_at`, by default at the takeover. Its
+    methods return the effects of the event that they give to the owner.
     """
 
     def __init__(
-        self, *upstreams: UpstreamRecord, taken_over=False, now=100.0, losses=()
+        self,
+        *upstreams: UpstreamRecord,
+        taken_over=False,
+        now=100.0,
+        losses=(),
+        heard_at=None,
     ):
         self.now = now
-        self.owner = CellOwner("tilburg", 3, LIMITS, now, taken_over, losses)
+        self.owner = CellOwner(
+            "tilburg",
+            3,
+            LIMITS,
+            now,
+            taken_over,
+            losses,
+            now if heard_at is None else heard_at,
+        )
         self.clocks = {item.name: 5000 for item in upstreams}
         self.handle(UpstreamsListed(tuple(upstreams)))
 
@@ -118,6 +134,11 @@
         """Let an entry cancel a job."""
         return self.handle(EntryMessageReceived(entry, CancelJob(job_id)))
 
+    def close_link(self, entry, silent_s=0.0):
+        """Close the link of an entry that was silent for some time."""
+        link = ClosedLink(entry, self.now - silent_s)
+        return self.handle(EntryLinksClosed((link,)))
+
     def accept(self, order: StartOrder):
         """Let an upstream accept a start order."""
         return self.handle(StartAnswered(order, Accepted(6000), self.now))
--- a/packages/core/carobramp_core/cells/tests/test_owner.py
+++ b/packages/core/carobramp_core/cells/tests/test_owner.py
@@ -1,5 +1,6 @@
 """Tests of the state machine of a cell's owner."""
 
+import math
 import unittest
 
 from carobramp_core.cells.limits import CLOCK_DRIFT
@@ -11,7 +12,6 @@
 )
 from carobramp_core.cells.orders import (
     ActiveRun,
-    EntryLinksClosed,
     Listing,
     NoAnswer,
     OwnershipLost,
@@ -285,7 +285,7 @@
         harness = OwnerHarness(upstream("i-1"), upstream("i-2"), taken_over=True)
         item = job(target_ms=5000)
         harness.offer(item, "front-1/1", resumed=True)
-        harness.handle(EntryLinksClosed(("front-1/1",)))
+        harness.close_link("front-1/1")
         harness.offer(item, "front-1/2", resumed=True)
         effects = [*harness.answer_poll("i-1"), *harness.answer_poll("i-2")]
         (order,) = starts([*effects, *harness.tick(0.1)])
@@ -395,6 +395,167 @@
         self.assertEqual(starts(harness.offer(job("0" * 16))), [])
 
 
+class LostStopsTests(unittest.TestCase):
+    """Runs that must end although no stop order is answered, while polls are."""
+
+    def setUp(self):
+        """Begin without a lease."""
+        self.granted_until = self.lapsed_at = -math.inf
+
+    def pass_time(self, harness, seconds, *active):
+        """Poll an upstream that answers no stop; return the effects.
+
+        It lists the active runs until the lease that it was granted has expired.
+        """
+        effects, unanswered = [], []
+        end = harness.now + seconds
+        while harness.now < end:
+            harness.now += LIMITS.tick_s
+            if active and harness.now >= self.granted_until > -math.inf:
+                self.lapsed_at, active = self.granted_until, ()
+            latest = []
+            for order in unanswered:
+                sent_at = harness.now - LIMITS.order_timeout_s
+                answer = StopAnswered(order, NoAnswer("lost"), sent_at)
+                latest += harness.handle(answer)
+            latest += harness.tick()
+            self.renew_lease(harness)
+            latest += harness.answer_poll(running=active)
+            unanswered = stops(latest)
+            effects += latest
+        return effects
+
+    def renew_lease(self, harness):
+        """Let the slow clock of an upstream extend its lease by the next poll."""
+        state = harness.owner.upstreams["i-1"]
+        deadline_ms = harness.owner.next_poll("i-1", harness.now).deadline_ms
+        if deadline_ms is not None:
+            left_s = (deadline_ms - state.estimated_clock_ms(harness.now)) / 1000
+            latest = harness.now + left_s / (1 - CLOCK_DRIFT)
+            self.granted_until = max(self.granted_until, latest)
+
+    def test_unclaimed_run_outlives_its_limit_while_stops_are_lost(self):
+        """Guards against two runs of a task after the owner and its entry were lost.
+
+        Once the stop of an adopted run was ordered, each poll renewed the lease again.
+        """
+        harness = OwnerHarness(upstream(), taken_over=True)
+        adopted_at = harness.now
+        run = ActiveRun(RunId("0" * 16, 0, 7), 40)
+        harness.answer_poll(running=[run])
+        effects = self.pass_time(harness, 0.8, run)
+        self.assertGreater(len(stops(effects)), 1)
+        drift_s = LIMITS.lease_s * CLOCK_DRIFT
+        latest = adopted_at + LIMITS.unclaimed_lease_s() + drift_s
+        self.assertGreater(self.lapsed_at, adopted_at)
+        self.assertLessEqual(self.lapsed_at, latest)
+
+    def test_run_adopted_late_outlives_the_wait_of_its_caller(self):
+        """Guards against two runs of a task when a cell is taken over slowly.
+
+        The callers of entries that were lost with the owner send their jobs again at a
+        time that does not depend on the takeover.
+        """
+        harness = OwnerHarness(upstream(), taken_over=True, heard_at=100.0, now=100.7)
+        run = ActiveRun(RunId("0" * 16, 0, 7), 40)
+        harness.answer_poll(running=[run])
+        effects = self.pass_time(harness, 0.25, run)
+        self.assertNotEqual(stops(effects), [])
+        self.pass_time(harness, 0.6, run)
+        entry_lost_at = 100.0 - LIMITS.entry_reconnect_s
+        self.assertGreater(self.lapsed_at, 100.7)
+        self.assertLess(self.lapsed_at, entry_lost_at + LIMITS.caller_retry_s)
+
+    def test_run_of_an_earlier_owner_that_nobody_heard_is_kept(self):
+        """Guards against runs that go on although all daemons were restarted."""
+        harness = OwnerHarness(upstream(), taken_over=True, heard_at=-math.inf)
+        run = ActiveRun(RunId("0" * 16, 0, 7), 40)
+        harness.answer_poll(running=[run])
+        effects = self.pass_time(harness, 0.05, run)
+        self.assertNotEqual(stops(effects), [])
+        self.assertEqual(self.granted_until, -math.inf)
+
+    def test_run_of_a_lost_entry_outlives_the_wait_of_its_caller(self):
+        """Guards against two runs of a task after its entry was lost."""
+        harness = OwnerHarness(upstream())
+        harness.answer_poll()
+        (order,) = starts(harness.offer(job()))
+        harness.accept(order)
+        lost_at = harness.now
+        harness.close_link("front-1")
+        self.pass_time(harness, 1.5, running(order))
+        self.assertGreater(self.lapsed_at, 0)
+        self.assertLess(self.lapsed_at, lost_at + LIMITS.caller_retry_s)
+
+    def test_run_outlives_the_patience_of_an_entry_that_the_owner_did_not_reach(self):
+        """Guards against leases whose limit is counted from the end of a pause."""
+        harness = OwnerHarness(upstream())
+        harness.answer_poll()
+        (order,) = starts(harness.offer(job()))
+        harness.accept(order)
+        heard_at = harness.now
+        harness.now += 0.9
+        harness.close_link("front-1", silent_s=0.9)
+        self.pass_time(harness, 1.5, running(order))
+        over_at = heard_at + LIMITS.run_end_after_link_loss_s()
+        self.assertGreater(self.lapsed_at, 0)
+        self.assertLess(self.lapsed_at, over_at)
+
+    def test_cancelled_run_outlives_the_wait_of_its_caller(self):
+        """Guards against two runs of a task whose job the entry has given up."""
+        harness = OwnerHarness(upstream())
+        harness.answer_poll()
+        (order,) = starts(harness.offer(job()))
+        harness.accept(order)
+        cancelled_at = harness.now
+        harness.cancel(order.run_id.job_id)
+        self.pass_time(harness, 1.5, running(order))
+        self.assertGreater(self.lapsed_at, 0)
+        self.assertLess(self.lapsed_at, cancelled_at + LIMITS.caller_retry_s)
+
+    def test_lease_is_not_limited_once_the_run_is_claimed_or_over(self):
+        """Guards against the loss of other runs after the limit was needed."""
+        harness = OwnerHarness(upstream(cpu=32000))
+        harness.answer_poll()
+        (order,) = starts(harness.offer(job(), entry="front-1/1"))
+        (ends,) = starts(harness.offer(job("0" * 16), entry="front-1/1"))
+        for started in (order, ends):
+            harness.accept(started)
+        harness.close_link("front-1/1")
+        harness.offer(job(), entry="front-1/2", resumed=True)
+        harness.answer_poll(running=[running(order)], ended=[ended(ends)])
+        self.renew_lease(harness)
+        self.assertGreater(self.granted_until, harness.now + LIMITS.lease_s - 0.01)
+
+    def test_nothing_starts_where_the_lease_is_nearly_over(self):
+        """Guards against tasks that are lost with a lease which is not renewed."""
+        harness = OwnerHarness(upstream(cpu=32000))
+        harness.answer_poll()
+        (order,) = starts(harness.offer(job()))
+        harness.accept(order)
+        harness.close_link("front-1")
+        self.pass_time(harness, 0.7, running(order))
+        waiting = job("0" * 16, target_ms=9000)
+        self.assertEqual(starts(harness.offer(waiting, entry="front-2")), [])
+
+    def test_silent_upstream_keeps_runs_whose_lease_was_limited(self):
+        """Guards against an upstream whose runs and limits are never removed.
+
+        A poll that renews no lease may be lost without making its upstream suspect.
+        """
+        harness = OwnerHarness(upstream())
+        harness.answer_poll()
+        (order,) = starts(harness.offer(job()))
+        harness.accept(order)
+        harness.close_link("front-1")
+        self.pass_time(harness, 1.3, running(order))
+        for _ in range(3):
+            harness.now += LIMITS.busy_poll_wait_s
+            harness.fail_poll()
+            harness.tick()
+        self.assertEqual(harness.owner.upstreams["i-1"].runs, {})
+
+
 class RunNumberTests(unittest.TestCase):
     """Run numbers, which rise from owner to owner."""
 
@@ -439,7 +600,7 @@
 
     def test_runs_of_a_disconnected_entry_are_stopped(self):
         """Guards against a run that continues while its caller asks another entry."""
-        self.harness.handle(EntryLinksClosed(("front-1",)))
+        self.harness.close_link("front-1")
         self.assertEqual(stops(self.harness.tick(0.01)), [])
         self.assertEqual(len(stops(self.harness.tick(LIMITS.entry_reconnect_s))), 1)
 
@@ -449,7 +610,7 @@
         The upstream's lease is still renewed for other runs, so that a retry of the
         caller would run the task a second time.
         """
-        self.harness.handle(EntryLinksClosed(("front-1",)))
+        self.harness.close_link("front-1")
         (order,) = stops(self.harness.tick(LIMITS.entry_reconnect_s))
         sent_at = self.harness.now
         self.harness.now += LIMITS.order_timeout_s
@@ -458,7 +619,7 @@
 
     def test_run_of_a_reconnected_entry_continues(self):
         """Guards against stopping a run because a connection was reset."""
-        self.harness.handle(EntryLinksClosed(("front-1",)))
+        self.harness.close_link("front-1")
         self.harness.offer(self.item, entry="front-1/2", resumed=True)
         effects = self.harness.tick(LIMITS.entry_reconnect_s + 0.01)
         self.assertEqual((starts(effects), stops(effects)), ([], []))
@@ -469,7 +630,7 @@
         harness.answer_poll()
         (order,) = starts(harness.offer(job(target_ms=5000)))
         harness.lose_start(order)
-        harness.handle(EntryLinksClosed(("front-1",)))
+        harness.close_link("front-1")
         lost = harness.answer_poll(ended=[ended(order, RunEndKind.LEASE_EXPIRED)])
         later = harness.tick(LIMITS.entry_reconnect_s / 2)
         self.assertEqual(starts([*lost, *later]), [])
@@ -480,7 +641,7 @@
         item = job(target_ms=5000)
         harness.answer_poll("i-1")
         harness.offer(item, "front-1/1", resumed=True)
-        harness.handle(EntryLinksClosed(("front-1/1",)))
+        harness.close_link("front-1/1")
         effects = [*harness.answer_poll("i-2"), *harness.tick()]
         self.assertEqual(starts(effects), [])
         back = harness.offer(item, "front-1/2", resumed=True)
@@ -488,7 +649,7 @@
 
     def test_result_for_a_disconnected_entry_is_lost(self):
         """Guards against a second run of a task that ended while its entry was away."""
-        self.harness.handle(EntryLinksClosed(("front-1",)))
+        self.harness.close_link("front-1")
         self.harness.answer_poll(ended=[ended(self.order)])
         effects = self.harness.offer(self.item, entry="front-1/2", resumed=True)
         self.assertEqual(starts(effects), [])
--- a/packages/core/carobramp_core/cells/upstreams.py
+++ b/packages/core/carobramp_core/cells/upstreams.py
@@ -131,6 +131,8 @@
         self.isolated_runs: set[RunId] = set()
         # Number of runs whose job is unknown, as no entry has claimed them yet.
         self.orphaned_run_count = 0
+        # Latest ends of leases beside runs whose tasks may start elsewhere after that.
+        self.lease_limits: dict[RunId, float] = {}
         self.used_cpu = 0
         self.used_memory_mb = 0
         self.used_accelerators = 0
@@ -167,24 +169,25 @@
     def lease_deadline_ms(self, now) -> int | None:
         """Return the end of a lease renewed now, on the upstream's clock.
 
-        While a run is unclaimed the lease is shorter, see
-        `CellLimits.unclaimed_lease_s`; None if that time is over.
+        The lease ends with the first limit of a run here; None if that time is over.
         """
-        lease_s = self.limits.lease_s
-        if self.orphaned_run_count:
-            lease_s = min(lease_s, self.unclaimed_until() - now)
+        lease_s = min(self.limits.lease_s, self.lease_limit() - now)
         if lease_s <= 0:
             return None
         return int(self.estimated_clock_ms(now) + lease_s * 1000)
 
-    def unclaimed_until(self) -> float:
-        """Return the end of the leases for runs that are unclaimed and not stopped."""
-        adopted_at = (
-            run.started_at
-            for run in self.runs.values()
-            if run.job is None and run.phase != RunPhase.STOPPING
-        )
-        return min(adopted_at, default=math.inf) + self.limits.unclaimed_lease_s()
+    def lease_limit(self) -> float:
+        """Return the time until which leases may be renewed, or infinity.
+
+        An upstream has one lease for all its runs. It is not renewed beyond the time at
+        which one of them must be over, whether or not stop orders are answered.
+        """
+        return min(self.lease_limits.values(), default=math.inf)
+
+    def limit_lease(self, run: Run, latest_end):
+        """Let no lease beside a run last beyond a time, until the run is claimed."""
+        earlier = self.lease_limits.get(run.run_id, math.inf)
+        self.lease_limits[run.run_id] = min(earlier, latest_end)
 
     def record_lease(self, deadline_ms):
         """Extend `leased_until` for an order that renews the lease and is to be sent.
@@ -213,6 +216,7 @@
     def remove_run(self, run: Run):
         """Remove a run that is over and free its capacity; do nothing if unknown."""
         self.isolated_runs.discard(run.run_id)
+        self.lease_limits.pop(run.run_id, None)
         if self.runs.pop(run.run_id, None) is not None:
             self.adjust_used_capacity(run, -1)
 
@@ -230,6 +234,7 @@
 
     def claim_run(self, run: Run, job: Job, entry):
         """Assign a run to the entry that waits for it and to the entry's job."""
+        self.lease_limits.pop(run.run_id, None)
         self.adjust_used_capacity(run, -1)
         run.job = job
         run.entry = entry
@@ -244,6 +249,7 @@
             and now >= self.blocked_until
             and not self.orphaned_run_count
             and not self.isolated_runs
+            and self.lease_limit() - now >= self.limits.start_lease_min_s
             and not (self.probing and self.runs)
         )
 
--- a/packages/daemon/carobramp_daemon/cells/calls.py
+++ b/packages/daemon/carobramp_daemon/cells/calls.py
@@ -30,7 +30,10 @@
             and request.vm != coordinator.own_row.vm
         )
         answer = pb.OwnerAnswer(
-            hears=hears, vm=coordinator.own_row.vm, candidate=candidate
+            hears=hears,
+            vm=coordinator.own_row.vm,
+            candidate=candidate,
+            owner_silence_ms=coordinator.owner_silence_ms(request.cell),
         )
         await stream.send_message(answer)
 
@@ -48,5 +51,5 @@
             row, version = coordinator.rows.cell(request.cell)
             if row is not None and row.vm == request.vm:
                 state.known_upstreams = tuple(map(decode_upstream, request.upstreams))
-                taken = await coordinator.claim(state, row, version)
+                taken = await coordinator.claim(state, row, version, now())
         await stream.send_message(pb.TakeOverReply(taken=taken))
--- a/packages/daemon/carobramp_daemon/cells/claim_checks.py
+++ b/packages/daemon/carobramp_daemon/cells/claim_checks.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 from collections.abc import Iterable
 
 import grpclib.exceptions
@@ -78,6 +79,10 @@
             rank=len(preceding),
             peers_answered=len(answers),
             peers_hearing_owner=sum(answer.hears for answer in answers),
+            least_peer_silence_s=min(
+                (a.owner_silence_ms / 1000 for a in answers if a.owner_silence_ms),
+                default=math.inf,
+            ),
         )
 
     async def ask_peer(
--- a/packages/daemon/carobramp_daemon/cells/coordinator.py
+++ b/packages/daemon/carobramp_daemon/cells/coordinator.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import math
 
 from grpclib.server import Server
 from mode import Service
@@ -47,6 +48,9 @@
 # While an owner is silent, one in this many connection attempts goes to it and the
 # others to its deputy, which answers at once.
 OWNER_ATTEMPT_PERIOD = 4
+MS_PER_S = 1000
+# Largest silence of an owner that daemons tell each other.
+MAX_SILENCE_MS = 3_600_000
 
 
 @dataclasses.dataclass
@@ -56,8 +60,10 @@
     Parameters
     ==========
 
-    owner_silent_since : time of the last sign of life of an owner; None while this
-        daemon has a link to one or owns the cell
+    owner_silent_since : time since which this daemon has heard no owner, at first its
+        start; None while it has a link to one or owns the cell
+    owner_heard_at : time at which the last link to an owner closed or the ownership
+        ended; minus infinity if there was neither
     link : link to a remote owner while one is open or being opened
     known_upstreams : upstreams as last read or received; a new owner starts with them
         without waiting for the store
@@ -66,6 +72,7 @@
 
     name: str
     owner_silent_since: float | None
+    owner_heard_at: float = -math.inf
     link: RemoteLink | None = None
     known_upstreams: tuple = ()
     deputy: Deputy | None = None
@@ -236,9 +243,10 @@
                     await self.take_over_if_needed(state)
         finally:
             if link.opened:
-                state.owner_silent_since = (
+                state.owner_heard_at = (
                     now() if serving.done() else link.last_received_at
                 )
+                state.owner_silent_since = state.owner_heard_at
             serving.cancel()
             reason = "the cell has another owner"
             with contextlib.suppress(asyncio.CancelledError):
@@ -324,7 +332,27 @@
             witnesses=view.peers_answered,
             rank=view.rank,
         )
-        await self.claim(state, row, version)
+        heard_at = max(self.owner_heard_at(state), now() - view.least_peer_silence_s)
+        await self.claim(state, row, version, heard_at)
+
+    def owner_heard_at(self, state: CellState) -> float:
+        """Return when this daemon last heard an owner of a cell, at most.
+
+        Minus infinity if it never has.
+        """
+        if state.name in self.owned:
+            return now()
+        if state.link is not None and state.name in self.entry_service.links:
+            return state.link.last_received_at
+        return state.owner_heard_at
+
+    def owner_silence_ms(self, cell) -> int:
+        """Return the time since this daemon last heard an owner; 0 if it never has."""
+        state = self.cells.get(cell)
+        heard_at = -math.inf if state is None else self.owner_heard_at(state)
+        if heard_at == -math.inf:
+            return 0
+        return min(MAX_SILENCE_MS, max(1, math.ceil(MS_PER_S * (now() - heard_at))))
 
     async def any_upstream_answers(self, state: CellState) -> bool:
         """Whether any upstream of a cell answers this daemon.
@@ -340,16 +368,19 @@
             state.name, state.known_upstreams
         )
 
-    async def claim(self, state: CellState, row: CellRow | None, version) -> bool:
+    async def claim(
+        self, state: CellState, row: CellRow | None, version, owner_heard_at
+    ) -> bool:
         """Claim a cell; return whether this daemon is its owner now.
 
         The claim fails if another daemon has written the row after `version`. A deputy
-        takes the cell over without the store if that is unavailable.
+        takes the cell over without the store if that is unavailable. `owner_heard_at`
+        is the time at which a daemon last heard the earlier owner.
         """
         token = claim_token(row.token if row else 0)
         result = await self.write_claim(state, token, version)
         if isinstance(result, Committed):
-            self.start_owning(state, token, taken_over=row is not None)
+            self.start_owning(state, token, row is not None, owner_heard_at)
             return True
         self.event_log.info("cell claim failed", cell=state.name, result=repr(result))
         if not isinstance(result, Unavailable) or not self.is_deputy(state):
@@ -358,7 +389,7 @@
         self.event_log.info(
             "taking over cell as deputy", cell=state.name, token=state.deputy.token
         )
-        self.start_owning(state, state.deputy.token, taken_over=True)
+        self.start_owning(state, state.deputy.token, True, owner_heard_at)
         return True
 
     async def write_claim(self, state: CellState, token, version):
@@ -370,10 +401,12 @@
             return Unavailable("the last call of the store failed", False)
         return await self.rows.claim(state.name, token, version)
 
-    def start_owning(self, state: CellState, token, taken_over):
+    def start_owning(self, state: CellState, token, taken_over, owner_heard_at):
         """Start the owner service of a cell and link the entry of this daemon to it."""
         losses = self.entry_service.entry.crash_records.all_losses()
-        owner = CellOwner(state.name, token, self.limits, now(), taken_over, losses)
+        owner = CellOwner(
+            state.name, token, self.limits, now(), taken_over, losses, owner_heard_at
+        )
         service = OwnerService(
             owner,
             self.orders,
@@ -424,7 +457,7 @@
         if self.owned.get(cell) is not service:
             return
         del self.owned[cell]
-        self.cells[cell].owner_silent_since = now()
+        self.cells[cell].owner_heard_at = self.cells[cell].owner_silent_since = now()
         self.cells[cell].deputy = service.deputy
         service.owner.ownership_lost = True
         for link in service.local_links:
@@ -486,7 +519,7 @@
             known_upstreams = tuple(u.record for u in service.owner.upstreams.values())
             self.stop_owning(service)
             self.cells[cell].known_upstreams = known_upstreams
-            self.start_owning(self.cells[cell], token, taken_over=True)
+            self.start_owning(self.cells[cell], token, True, now())
 
     @Service.task
     async def maintain_ownership(self):
--- a/packages/daemon/carobramp_daemon/cells/owner.py
+++ b/packages/daemon/carobramp_daemon/cells/owner.py
@@ -10,6 +10,7 @@
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import UpstreamLosses
 from carobramp_core.cells.orders import (
+    ClosedLink,
     EntryLinksClosed,
     EntryMessageReceived,
     Listing,
@@ -139,8 +140,9 @@
 
     def remove_entry_link(self, entry):
         """Remove a closed link and report that to the owner."""
-        if self.links.pop(entry, None) is not None:
-            self.dispatch(EntryLinksClosed((entry,)))
+        link = self.links.pop(entry, None)
+        if is_remote(link):
+            self.dispatch(EntryLinksClosed((ClosedLink(entry, link.last_echo_at),)))
 
     def close_stale_links(self, paused_s):
         """Close all stale links in one event, so that no decision falls between."""
@@ -160,7 +162,8 @@
             paused_s=paused_s,
             links=len(stale),
         )
-        self.dispatch(EntryLinksClosed(tuple(stale)))
+        closed = (ClosedLink(name, link.last_echo_at) for name, link in stale.items())
+        self.dispatch(EntryLinksClosed(tuple(closed)))
 
     def handle_message(self, entry, message):
         """Pass a message of an entry to the owner."""
--- /dev/null
+++ b/packages/daemon/carobramp_daemon/tests/test_claim_checks.py
@@ -0,0 +1,102 @@
+"""What a daemon learns of a lost owner before it takes over a cell."""
+
+import math
+import types
+import unittest
+from unittest import mock
+
+from carobramp_core.cells.claims import ClaimView
+from carobramp_daemon.cells import coordinator as coordinator_module
+from carobramp_daemon.cells.claim_checks import ClaimChecks
+from carobramp_daemon.cells.coordinator import CellCoordinator, CellState
+from carobramp_daemon.cells.rows import VmRow
+from carobramp_schema.generated import cells_pb2 as pb
+
+CELL = "tilburg"
+VIEW = ClaimView(True, 0.5, True, True, 0, 0, 0, uptime_s=9.0)
+
+
+def vm_row(number) -> VmRow:
+    """Build the row of a VM."""
+    return VmRow(f"vm-{number}", CELL, "10.1.0.1", 7720, 7721, "a", 1.0)
+
+
+class SurveyTests(unittest.IsolatedAsyncioTestCase):
+    """The silence of the owner that peers report."""
+
+    async def survey(self, *silences_ms):
+        """Return the view after answers of peers with these silences."""
+        checks = ClaimChecks(vm_row(0), mock.Mock())
+        answers = [
+            pb.OwnerAnswer(vm=f"vm-{n}", owner_silence_ms=silence_ms)
+            for n, silence_ms in enumerate(silences_ms, 1)
+        ]
+        checks.ask_peer = mock.AsyncMock(side_effect=answers)
+        peers = [vm_row(n) for n in range(1, len(silences_ms) + 1)]
+        return await checks.survey_peers(CELL, None, peers, VIEW)
+
+    async def test_restarted_daemon_keeps_runs_that_must_be_over(self):
+        """Guards against leases counted from the start of the new owner.
+
+        A daemon that was restarted has never heard the owner that it replaces; its
+        peers have.
+        """
+        view = await self.survey(0, 700, 450)
+        self.assertEqual(view.least_peer_silence_s, 0.45)
+
+    async def test_silence_that_no_peer_knows(self):
+        """Guards against taking an unknown silence for a short one."""
+        view = await self.survey(0, 0)
+        self.assertEqual(view.least_peer_silence_s, math.inf)
+
+
+class OwnerSilenceTests(unittest.TestCase):
+    """The silence of an owner that a daemon reports to its peers."""
+
+    def setUp(self):
+        """Build a daemon without a link, at 100 s."""
+        patcher = mock.patch.object(coordinator_module, "now", lambda: 100.0)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+        self.state = CellState(CELL, owner_silent_since=99.0)
+        self.coordinator = mock.Mock(cells={CELL: self.state}, owned={})
+        self.coordinator.entry_service.links = {}
+        self.coordinator.owner_heard_at = types.MethodType(
+            CellCoordinator.owner_heard_at, self.coordinator
+        )
+
+    def silence_ms(self):
+        """Return the reported silence."""
+        return CellCoordinator.owner_silence_ms(self.coordinator, CELL)
+
+    def test_daemon_that_never_had_a_link(self):
+        """Guards against the start of a daemon that counts as a sign of life."""
+        self.assertEqual(self.silence_ms(), 0)
+
+    def test_link_that_has_closed(self):
+        """Guards against a silence that is not known to the peers."""
+        self.state.owner_heard_at = 99.25
+        self.assertEqual(self.silence_ms(), 750)
+
+    def test_connection_that_is_not_a_link_yet(self):
+        """Guards against a connection to a deputy that counts as a sign of life."""
+        self.state.owner_heard_at = 99.25
+        self.state.link = mock.Mock(last_received_at=100.0)
+        self.assertEqual(self.silence_ms(), 750)
+
+    def test_open_link(self):
+        """Guards against an old time of a cell that has an owner again."""
+        self.state.owner_heard_at = 50.0
+        self.state.link = mock.Mock(last_received_at=99.9)
+        self.coordinator.entry_service.links = {CELL: object()}
+        self.assertEqual(self.silence_ms(), 100)
+
+    def test_own_cell(self):
+        """Guards against the silence of an earlier owner of a cell that is owned."""
+        self.state.owner_heard_at = 50.0
+        self.coordinator.owned = {CELL: object()}
+        self.assertEqual(self.silence_ms(), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/testing/carobramp_testing/models/cell_parties.py
+++ b/packages/testing/carobramp_testing/models/cell_parties.py
@@ -11,6 +11,7 @@
 )
 from carobramp_core.cells.messages import UpstreamLosses
 from carobramp_core.cells.orders import (
+    ClosedLink,
     EntryLinksClosed,
     EntryMessageReceived,
     NoAnswer,
@@ -111,7 +112,8 @@
                     self.dispatch(EntryMessageReceived(name, message))
             if self.world.gives_up(link, self):
                 self.links.pop(name, None)
-                self.dispatch(EntryLinksClosed((name,)))
+                closed = ClosedLink(name, link.last_echo_at[self])
+                self.dispatch(EntryLinksClosed((closed,)))
         waiting, self.unanswered = self.unanswered, []
         for order, sent_at in waiting:
             refused = self.upstreams[order.upstream].refuses_connections
@@ -126,7 +128,10 @@
         """Send an order to its upstream."""
         now = self.world.now
         upstream = self.upstreams[order.upstream]
-        if not upstream.reachable:
+        stop_lost = (
+            isinstance(order, StopOrder) and self.cell == self.world.lost_stops_cell
+        )
+        if stop_lost or not upstream.reachable:
             self.unanswered.append((order, now))
             return
         if self.late_orders and not isinstance(order, PollOrder):
--- a/packages/testing/carobramp_testing/models/cell_world.py
+++ b/packages/testing/carobramp_testing/models/cell_world.py
@@ -40,6 +40,9 @@
         self.faults = faults
         self.upstreams = self.new_upstreams()
         self.links: list[Link] = []
+        self.silent_since = None
+        # Cell whose stop orders are lost.
+        self.lost_stops_cell: str | None = None
         self.later: list = []
         self.resend_at: list[float] = []
         self.owners = [OwnerParty(self, cell, TOKENS, False) for cell in ("a", "b")]
@@ -50,7 +53,6 @@
             EntryParty(self, "entry-2", "b"),
         ]
         self.restored: list = []
-        self.silent_since = None
         self.two_runs = False
         self.told_not_run = False
         self.started = False
@@ -63,7 +65,18 @@
 
     def new_owner(self, cell, token, taken_over) -> CellOwner:
         """Return the decisions of an owner."""
-        return CellOwner(cell, token, self.limits, self.now, taken_over)
+        return CellOwner(
+            cell,
+            token,
+            self.limits,
+            self.now,
+            taken_over,
+            predecessor_heard_at=self.predecessor_heard_at(),
+        )
+
+    def predecessor_heard_at(self) -> float:
+        """Return when the owner that is replaced was last heard."""
+        return self.now if self.silent_since is None else self.silent_since
 
     def silent(self, link, end) -> bool:
         """Whether an end has no recent echo, and acts on nothing that arrives."""
@@ -238,6 +251,10 @@
         """Two orders get no answer and are carried out later."""
         self.rows["a"].late_orders = 2
 
+    def lose_stops(self):
+        """Upstreams of cell a neither answer nor carry out stop orders any more."""
+        self.lost_stops_cell = "a"
+
     def restart_upstream(self):
         """That upstream starts again under its name."""
         self.busy_upstream().restart(self.now)
--- a/packages/testing/carobramp_testing/models/cells.py
+++ b/packages/testing/carobramp_testing/models/cells.py
@@ -12,6 +12,7 @@
 
 import dataclasses
 import functools
+import math
 import sys
 from typing import NamedTuple
 
@@ -36,6 +37,7 @@
     "cut_to_owner",
     "cut_upstream",
     "late_orders",
+    "lose_stops",
     "restart_upstream",
 )
 # As the job comes, and while it runs.
@@ -54,7 +56,8 @@
 SETTLED = "takeover waits for earlier runs"
 ABANDONED = "wait for a lost owner's leases"
 UNKNOWN_FATE = "unanswered start is settled"
-LOST_ENTRY = "runs of a lost entry are stopped"
+LOST_ENTRY = "runs of a lost entry are stopped, or their leases end"
+LEASE_LIMIT = "leases beside runs of a lost entry end"
 COMMITTED = "no refusal after a start"
 SAFEGUARDS = {
     ECHO: ONE_RUN,
@@ -63,6 +66,7 @@
     ABANDONED: ONE_RUN,
     UNKNOWN_FATE: ONE_RUN,
     LOST_ENTRY: ONE_RUN,
+    LEASE_LIMIT: ONE_RUN,
     COMMITTED: NOT_RUN,
 }
 
@@ -93,6 +97,15 @@
         return self.link_timeout_s
 
 
+@dataclasses.dataclass(frozen=True)
+class UnlimitedLeases(CellLimits):
+    """Limits under which the leases beside runs of a lost entry are renewed."""
+
+    def lease_end_before_retry_s(self):
+        """Return that leases never end."""
+        return math.inf
+
+
 class Mutant(World):
     """World without one safeguard.
 
@@ -107,7 +120,9 @@
         if without == ABANDONED:
             self.limits = HastyLimits()
         elif without == LOST_ENTRY:
-            self.limits = CellLimits(entry_reconnect_s=60.0)
+            self.limits = UnlimitedLeases(entry_reconnect_s=60.0)
+        elif without == LEASE_LIMIT:
+            self.limits = UnlimitedLeases()
         super().__init__(faults)
         for upstream in self.upstreams:
             upstream.fences = without != FENCE
@@ -115,7 +130,14 @@
     def new_owner(self, cell, token, taken_over):
         """Return the decisions of an owner."""
         kind = SettledOwner if self.without == SETTLED else CellOwner
-        return kind(cell, token, self.limits, self.now, taken_over)
+        return kind(
+            cell,
+            token,
+            self.limits,
+            self.now,
+            taken_over,
+            predecessor_heard_at=self.predecessor_heard_at(),
+        )
 
     def silent(self, link, end):
         """Whether an end has no recent echo."""
--- a/packages/testing/carobramp_testing/models/tests/test_cells.py
+++ b/packages/testing/carobramp_testing/models/tests/test_cells.py
@@ -5,6 +5,7 @@
 from carobramp_testing.models.cells import (
     FENCE,
     KINDS,
+    LEASE_LIMIT,
     NOT_RUN,
     SAFEGUARDS,
     SETTLED,
@@ -18,6 +19,7 @@
 # Mutants that only two faults together break.
 PAIRS = {
     FENCE: ((1, "late_orders"), (2, "kill_owner")),
+    LEASE_LIMIT: ((2, "kill_entry"), (2, "lose_stops")),
     SETTLED: ((4, "take_over"), (4, "cut_upstream")),
 }
 
