Let odd entries in the list of upstreams cost nothing but themselves

Callers saw: nothing yet; other operators reported machines that ended again and again or no longer followed the list because of one odd entry. By the code here, daemons could take over no cell, name no deputy and hand nothing over.

Cause: entries were checked for their shape, not for the range of their numbers, and errors were caught by the exceptions that the decoder documents. Nesting raised RecursionError, a host name UnicodeError in the resolver, a number ValueError when it was sent to another daemon.

--- a/packages/daemon/carobramp_daemon/cells/rows.py
+++ b/packages/daemon/carobramp_daemon/cells/rows.py
@@ -1,13 +1,18 @@
 """Rows in the platform's store: addresses of daemons and owners of cells."""
 
+from typing import Annotated
+
 import msgspec
 
 from carobramp_core.cells.ports import CoordinationTable
 from carobramp_core.platform import Condition, Row, Transaction, Write
+from carobramp_schema.decode import InvalidInput, decode
 
 CELL_PREFIX = "cell/"
 VM_PREFIX = "vm/"
 
+Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+
 
 class VmRow(msgspec.Struct, frozen=True):
     """Row of a daemon: its addresses, its incarnation and the size of its VM."""
@@ -15,8 +20,8 @@
     vm: str
     availability_zone: str
     host: str
-    port: int
-    link_port: int
+    port: Port
+    link_port: Port
     incarnation: str
     cores: float = 1.0
 
@@ -31,8 +36,8 @@
     vm: str
     availability_zone: str
     host: str
-    port: int
-    link_port: int
+    port: Port
+    link_port: Port
     incarnation: str
     token: int
     cores: float = 1.0
@@ -72,14 +77,14 @@
 
     def decode(self, row: Row, kind):
         """Return the decoded value of a row; log an invalid one and return None."""
-        try:
-            return msgspec.json.decode(row.value, type=kind)
-        except msgspec.DecodeError as error:
+        decoded = decode(row.value, kind)
+        if isinstance(decoded, InvalidInput):
             self.metrics.increment("platform_invalid", "fleet")
             self.event_log.info(
-                "row could not be decoded", key=row.key, detail=str(error)
+                "row could not be decoded", key=row.key, detail=str(decoded)
             )
             return None
+        return decoded
 
     async def announce(self):
         """Write the row of this daemon unconditionally; return the store's answer."""
--- a/packages/testing/carobramp_testing/tests/test_leased.py
+++ b/packages/testing/carobramp_testing/tests/test_leased.py
@@ -5,12 +5,14 @@
 import time
 import unittest
 
+from carobramp_platform.tests.odd_entries import UNUSABLE_ENTRIES
 from carobramp_testing.builders.jobs import leased_job
 from carobramp_testing.checker import HTTP_OK, overlapping_runs, peak_cpu
 from carobramp_testing.leased import LeasedDeployment
 from carobramp_testing.processes import wait_for
 from carobramp_testing.standins.leased import LeasedPlatform
 from carobramp_testing.standins.leased.platform import ROUTES
+from carobramp_testing.standins.leased.store import SERVERS
 
 COMPLETED = (HTTP_OK, {"state": "completed"})
 FAILED = (HTTP_OK, {"state": "failed"})
@@ -22,6 +24,7 @@
 TASK_CPU = 6800
 FULL_CPU, SHRUNK_CPU = 16000, 9000
 UNAVAILABLE = 503
+UNEXPECTED_ERRORS = "carobramp_unexpected_errors{"
 
 
 class LeasedCase(unittest.IsolatedAsyncioTestCase):
@@ -198,6 +201,31 @@
                 await asyncio.sleep(0.02)
 
 
+class OddEntryTests(LeasedCase):
+    """Entries of another writer in the list of upstreams."""
+
+    async def test_odd_entries_prevent_every_takeover(self):
+        """Guards against daemons that end or own no cell because of one entry.
+
+        The entries precede those of the workers and change while daemons start.
+        """
+        daemons = list(self.deployment.daemons.values())
+        await asyncio.gather(*(daemon.end() for daemon in daemons))
+        for number, data in enumerate(UNUSABLE_ENTRIES.values()):
+            await self.platform.store.put(SERVERS, f"a-{number}", data)
+        await asyncio.gather(*(daemon.start() for daemon in daemons))
+        await wait_for(self.deployment.all_ready)
+        for number, data in enumerate(UNUSABLE_ENTRIES.values()):
+            await self.platform.store.put(SERVERS, f"b-{number}", data)
+        for daemon in daemons:
+            self.assertEqual(await self.submit(daemon), COMPLETED)
+            self.assertIsNone(daemon.child.returncode)
+            lines = (await self.deployment.metrics(daemon)).splitlines()
+            counters = [line for line in lines if line.startswith(UNEXPECTED_ERRORS)]
+            self.assertEqual(counters, [])
+        self.assert_no_overlap()
+
+
 class ChangedCapacityTests(LeasedCase):
     """Upstreams that do not enforce their capacity, which changes while they run."""
 
