Probe other upstreams in each attempt to take over a cell

Cause: a daemon claims a cell only if an upstream answers it, and asked the same three to five entries at each attempt. None of them need be an upstream.

Evidence: failed on the code before: test_entries_of_another_program_prevent_every_ takeover (no daemon ready within 20 s), and test_entry_of_another_program_delays_the_ tasks_of_the_earlier_owner (0 starts): a new owner also waited for the answer of every entry before it resumed tasks.

Why this works: each round of probes asks some entries of each service, and the rounds go through all of them, so that an upstream that answers is found. With one service the number of probes is as before. A resumed task waits for the upstreams of its service, the only ones that can run it.

--- a/packages/core/carobramp_core/cells/claims.py
+++ b/packages/core/carobramp_core/cells/claims.py
@@ -35,6 +35,11 @@
 # Fencing tokens of one claim: the first for the owner, the others for its deputies. A
 # deputy is replaced only when its link closes.
 TOKEN_BLOCK = 64
+# Upstreams of one service are probed at even distances in the list, so that there are
+# about this many.
+PROBED_UPSTREAMS = 3
+# Services whose upstreams are probed in one round.
+PROBED_SERVICES = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -113,6 +118,33 @@
     return view.uptime_s >= RECLAIM_MIN_UPTIME_S
 
 
+def choose_probed_upstreams(
+    upstreams: Iterable[UpstreamRecord], probe_round: int
+) -> list[UpstreamRecord]:
+    """Return the upstreams of a cell that a daemon probes before it claims the cell.
+
+    A round probes some upstreams of some services. The rounds go through all services,
+    and then through all upstreams of each: entries of another program must not hide
+    the upstreams beside them.
+
+    Parameters
+    ==========
+
+    probe_round : number of earlier rounds of probes
+    """
+    by_service: dict[str, list[UpstreamRecord]] = {}
+    for upstream in upstreams:
+        by_service.setdefault(upstream.service, []).append(upstream)
+    groups = list(by_service.values())
+    passes, position = divmod(probe_round, max(1, -(-len(groups) // PROBED_SERVICES)))
+    first = position * PROBED_SERVICES
+    probed = []
+    for group in groups[first : first + PROBED_SERVICES]:
+        distance = max(1, len(group) // PROBED_UPSTREAMS)
+        probed += group[passes % distance :: distance]
+    return probed
+
+
 class Candidate(Protocol):
     """A daemon that may own a cell."""
 
--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -415,7 +415,7 @@
         ]
         if not unstarted:
             return
-        if offer.resumed and not self.earlier_runs_resolved(offer.members, now):
+        if offer.resumed and not self.earlier_runs_resolved(offer, now):
             remaining_offer = dataclasses.replace(offer, indexes=tuple(unstarted))
             self.resumed_offers.append((entry, remaining_offer, received_at))
             return
@@ -462,10 +462,10 @@
             return True
         return False
 
-    def earlier_runs_resolved(self, members, now) -> bool:
-        """Return whether every run of an earlier owner is known or over.
+    def earlier_runs_resolved(self, offer: Offer, now) -> bool:
+        """Return whether every earlier run of the offered tasks is known or over.
 
-        Upstreams missing from the list may still have runs: their records expire while
+        Only upstreams of the job's service can have one. Upstreams missing from the list may still have runs: their records expire while
         they are cut off from the store. The earlier owner stops renewing leases once an
         upstream rejects its lower token, at the latest in the next poll of an upstream.
         """
@@ -474,10 +474,9 @@
         all_over_s = self.limits.lease_expiry_s() + self.limits.link_timeout_s
         if now - self.owned_since > all_over_s:
             return True
-        all_known = all(name in self.upstreams for name in members)
-        return all_known and all(
-            upstream.answered for upstream in self.upstreams.values()
-        )
+        all_known = all(name in self.upstreams for name in offer.members)
+        members = self.upstreams_by_service.get(offer.job.service, ())
+        return all_known and all(upstream.answered for upstream in members)
 
     def release_job(self, job_id, now, effects):
         """Stop the runs and drop the waiting tasks of a job that no entry needs."""
--- a/packages/core/carobramp_core/cells/resumed_offers.py
+++ b/packages/core/carobramp_core/cells/resumed_offers.py
@@ -56,7 +56,7 @@
     resumed_offers, owner.resumed_offers = owner.resumed_offers, []
     for entry, offer, received_at in resumed_offers:
         disconnected = entry in owner.disconnected_entries
-        if disconnected or not owner.earlier_runs_resolved(offer.members, now):
+        if disconnected or not owner.earlier_runs_resolved(offer, now):
             owner.resumed_offers.append((entry, offer, received_at))
             continue
         unstarted = [
--- a/packages/core/carobramp_core/cells/tests/test_claims.py
+++ b/packages/core/carobramp_core/cells/tests/test_claims.py
@@ -4,14 +4,18 @@
 import unittest
 
 from carobramp_core.cells.claims import (
+    PROBED_SERVICES,
+    PROBED_UPSTREAMS,
     TOKEN_BLOCK,
     ClaimView,
     choose_deputy,
+    choose_probed_upstreams,
     claim_token,
     deputy_token,
     should_claim,
     should_reclaim,
 )
+from carobramp_core.cells.tests.support import upstream
 
 VIEW = ClaimView(
     had_owner=True,
@@ -30,6 +34,41 @@
     return dataclasses.replace(VIEW, **fields)
 
 
+class ProbeTests(unittest.TestCase):
+    """Probes of upstreams before a claim."""
+
+    def test_entries_of_another_program_hide_the_upstreams_beside_them(self):
+        """Guards against a cell that nobody claims after all daemons were restarted.
+
+        The same entries were probed at each attempt, and none of them answered.
+        """
+        others = [upstream(f"a-{n}", service="label-printer") for n in range(9)]
+        workers = [upstream(f"i-{n}") for n in range(3)]
+        probed = choose_probed_upstreams([*others, *workers], 0)
+        self.assertTrue(set(workers) & set(probed))
+
+    def test_some_upstream_is_never_probed(self):
+        """Guards against upstreams that no number of attempts reaches."""
+        for services in (1, 2, 4, 5, 8, 9):
+            for members in (1, 2, 3, 7, 40):
+                listed = [
+                    upstream(f"{service}-{n}", service=f"{service}")
+                    for service in range(services)
+                    for n in range(members)
+                ]
+                rounds = len(listed)
+                probes = [choose_probed_upstreams(listed, n) for n in range(rounds)]
+                self.assertEqual(set().union(*probes), set(listed))
+                most = PROBED_SERVICES * (2 * PROBED_UPSTREAMS - 1)
+                self.assertLessEqual(max(map(len, probes)), most)
+
+    def test_one_service_is_probed_as_often_as_needed(self):
+        """Guards against probes, which are priced, of every upstream."""
+        listed = [upstream(f"i-{n}") for n in range(24)]
+        self.assertEqual(len(choose_probed_upstreams(listed, 0)), PROBED_UPSTREAMS)
+        self.assertEqual(choose_probed_upstreams([], 0), [])
+
+
 class ClaimTests(unittest.TestCase):
     """Claims of cells with a silent or an unsuitable owner."""
 
--- a/packages/core/carobramp_core/cells/tests/test_owner.py
+++ b/packages/core/carobramp_core/cells/tests/test_owner.py
@@ -280,6 +280,13 @@
         harness.now += LIMITS.link_timeout_s
         self.assertEqual(len(starts(harness.answer_poll("i-1"))), 1)
 
+    def test_entry_of_another_program_delays_the_tasks_of_the_earlier_owner(self):
+        """Guards against resumed tasks that wait for an answer which never comes."""
+        foreign = upstream("a-1", service="label-printer")
+        harness = OwnerHarness(upstream("i-1"), foreign, taken_over=True)
+        harness.offer(job(target_ms=5000), resumed=True, members=("i-1", "a-1"))
+        self.assertEqual(len(starts(harness.answer_poll("i-1"))), 1)
+
     def test_task_offered_again_over_a_new_link_starts_twice(self):
         """Guards against two runs of a task whose entry has lost its link twice."""
         harness = OwnerHarness(upstream("i-1"), upstream("i-2"), taken_over=True)
--- a/packages/daemon/carobramp_daemon/cells/claim_checks.py
+++ b/packages/daemon/carobramp_daemon/cells/claim_checks.py
@@ -10,7 +10,7 @@
 from google.protobuf.message import DecodeError
 from grpclib.client import Channel
 
-from carobramp_core.cells.claims import ClaimView
+from carobramp_core.cells.claims import ClaimView, choose_probed_upstreams
 from carobramp_core.cells.orders import NoAnswer, PollOrder, UpstreamRecord
 from carobramp_core.cells.ports import UpstreamOrders
 from carobramp_daemon.cells.rows import CellRow, VmRow
@@ -32,8 +32,6 @@
 # before the leases of its upstreams expire.
 OWNER_TIMEOUT_S = 0.1
 MAX_ASKED_PEERS = 5
-# Upstreams are probed at even distances in the list, so that there are about this many.
-PROBED_UPSTREAMS = 3
 
 
 class ClaimChecks:
@@ -111,9 +109,12 @@
         return answer is not None and answer.hears
 
     async def any_upstream_answers(
-        self, cell, upstreams: Iterable[UpstreamRecord]
+        self, cell, upstreams: Iterable[UpstreamRecord], probe_round
     ) -> bool:
-        """Whether an upstream of a cell answers a poll, if only by rejecting it."""
+        """Whether an upstream of a cell answers a poll, if only by rejecting it.
+
+        `probe_round` is the number of earlier rounds, in which others were asked.
+        """
         members = [u for u in upstreams if u.availability_zone == cell]
         if not members:
             # An empty cell is not worth a claim. During a network partition, entries of
@@ -121,7 +122,7 @@
             return False
         probes = [
             PollOrder(u.name, u.address, 0, 0, None, 0, CALL_TIMEOUT_S)
-            for u in members[:: max(1, len(members) // PROBED_UPSTREAMS)]
+            for u in choose_probed_upstreams(members, probe_round)
         ]
         outcomes = await asyncio.gather(*(self.orders.poll(order) for order in probes))
         return any(not isinstance(outcome, NoAnswer) for outcome in outcomes)
--- a/packages/daemon/carobramp_daemon/cells/coordinator.py
+++ b/packages/daemon/carobramp_daemon/cells/coordinator.py
@@ -68,6 +68,7 @@
     known_upstreams : upstreams as last read or received; a new owner starts with them
         without waiting for the store
     deputy : deputy named by the last owner
+    probe_rounds : number of times that upstreams of the cell were probed
     """
 
     name: str
@@ -76,6 +77,7 @@
     link: RemoteLink | None = None
     known_upstreams: tuple = ()
     deputy: Deputy | None = None
+    probe_rounds: int = 0
 
 
 class CellCoordinator(Service):
@@ -364,8 +366,9 @@
             if isinstance(known_upstreams, Unavailable):
                 return False
             state.known_upstreams = known_upstreams
+        state.probe_rounds += 1
         return await self.claim_checks.any_upstream_answers(
-            state.name, state.known_upstreams
+            state.name, state.known_upstreams, state.probe_rounds - 1
         )
 
     async def claim(
--- a/packages/testing/carobramp_testing/models/cells.py
+++ b/packages/testing/carobramp_testing/models/cells.py
@@ -83,7 +83,7 @@
 class SettledOwner(CellOwner):
     """Owner that takes an earlier owner's runs for known at once."""
 
-    def earlier_runs_resolved(self, members, now):
+    def earlier_runs_resolved(self, offer, now):
         """Return that every run is known."""
         return True
 
--- a/packages/testing/carobramp_testing/tests/test_leased.py
+++ b/packages/testing/carobramp_testing/tests/test_leased.py
@@ -1,11 +1,12 @@
 """Tests of daemons on the stand-in platform, as separate processes."""
 
 import asyncio
+import itertools
 import signal
 import time
 import unittest
 
-from carobramp_platform.tests.odd_entries import UNUSABLE_ENTRIES
+from carobramp_platform.tests.odd_entries import ENTRY, UNUSABLE_ENTRIES
 from carobramp_testing.builders.jobs import leased_job
 from carobramp_testing.checker import HTTP_OK, overlapping_runs, peak_cpu
 from carobramp_testing.leased import LeasedDeployment
@@ -225,6 +226,21 @@
             self.assertEqual(counters, [])
         self.assert_no_overlap()
 
+    async def test_entries_of_another_program_prevent_every_takeover(self):
+        """Guards against cells without an owner beside well-formed foreign entries.
+
+        Nobody answers at their addresses.
+        """
+        daemons = list(self.deployment.daemons.values())
+        await asyncio.gather(*(daemon.end() for daemon in daemons))
+        for number, zone in itertools.product(range(9), self.platform.zones):
+            foreign = ENTRY | {"service": "label-printer", "zone": zone}
+            await self.platform.store.put(SERVERS, f"a-{zone}-{number}", foreign)
+        await asyncio.gather(*(daemon.start() for daemon in daemons))
+        await wait_for(self.deployment.all_ready)
+        for daemon in daemons:
+            self.assertEqual(await self.submit(daemon), COMPLETED)
+
 
 class ChangedCapacityTests(LeasedCase):
     """Upstreams that do not enforce their capacity, which changes while they run."""
