Answer every job before a planned stop closes its connection

Cause: a drain waited for open jobs until one second before the end of the grace time and then closed their connections. Jobs that were accepted in its first half may wait longer than that for an upstream.

Evidence: test_planned_stop_cuts_off_a_job_that_waits got status 0 on the code before, and 504 now; four tests of the entry.

Why this works: the entry knows by when it must answer. It ends a waiting job as soon as the estimated run time exceeds the time that is left, so that its caller can ask another daemon, and everything else just before the services stop.

--- a/packages/core/carobramp_core/cells/entry.py
+++ b/packages/core/carobramp_core/cells/entry.py
@@ -12,6 +12,7 @@
 
 import dataclasses
 import functools
+import math
 
 from carobramp_core.cells.crash_records import CrashRecords
 from carobramp_core.cells.limits import CellLimits
@@ -41,6 +42,7 @@
 from carobramp_core.cells.orders import LogEvent
 
 RETRY_AFTER_S = 1.0
+MS_PER_S = 1000
 # Why no upstream of a cell could run a task, even if it were idle.
 UNSUITABLE_REASONS = {
     ReturnReason.NO_SERVICE: NoResultReason.NO_SERVICE,
@@ -99,6 +101,13 @@
     """Periodic event that triggers what depends on time alone."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DrainStarted:
+    """The process is about to stop; every job must be answered by `answer_by`."""
+
+    answer_by: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SendToOwner:
     """Effect that sends a message to the owner of a cell."""
@@ -127,6 +136,7 @@
     | OwnerLinkClosed
     | OwnerMessageReceived
     | EntryTick
+    | DrainStarted
 )
 EntryEffect = SendToOwner | AnswerCaller | LogEvent
 
@@ -148,6 +158,8 @@
         # Names of the upstreams of each cell, as last sent by its owner.
         self.upstreams_by_cell: dict[str, tuple[str, ...]] = {}
         self.crash_records = CrashRecords()
+        # Time by which every job must be answered as the process is about to stop.
+        self.answer_by = math.inf
 
     def handle(self, event: EntryEvent, now: float) -> list[EntryEffect]:
         """Process an event at time `now` and return the effects to carry out."""
@@ -230,7 +242,7 @@
             "may_wait": may_wait,
             "resumed": resumed,
             "free_cpu": view.free_cpu,
-            "report_age_ms": round((now - view.reported_at) * 1000),
+            "report_age_ms": round((now - view.reported_at) * MS_PER_S),
         }
         effects.append(LogEvent("tasks offered", fields))
 
@@ -264,6 +276,19 @@
         self.end_job(open_job, Failed(), now, effects)
         return True
 
+    def end_job_before_stop(self, open_job: OpenJob, now, effects) -> bool:
+        """End a job that cannot be completed before the process stops.
+
+        A job with a task that has started may go on until `answer_by`; the run time of
+        another one is taken from its estimate. Returns whether the job was ended.
+        """
+        left_s = self.answer_by - now
+        estimate_s = open_job.job.estimate_ms / MS_PER_S
+        if left_s > (0.0 if open_job.started else estimate_s):
+            return False
+        self.refuse_job(open_job, NoResultReason.DRAINING, RETRY_AFTER_S, now, effects)
+        return True
+
     def end_job(self, open_job: OpenJob, outcome: Outcome, now, effects):
         """Answer the caller and cancel the job at the owners with offered tasks."""
         del self.jobs[open_job.job.job_id]
@@ -288,6 +313,8 @@
     entry.jobs[event.job.job_id] = open_job
     if entry.end_crashing_job(open_job, now, effects):
         return
+    if entry.end_job_before_stop(open_job, now, effects):
+        return
     entry.offer_tasks(open_job, set(range(event.job.tasks)), now, effects)
 
 
@@ -335,9 +362,18 @@
     effects.append(LogEvent("link to an owner closed", fields))
 
 
+@on_event.register
+def _(event: DrainStarted, entry: Entry, now, effects):
+    entry.answer_by = event.answer_by
+    for open_job in list(entry.jobs.values()):
+        entry.end_job_before_stop(open_job, now, effects)
+
+
 @on_event.register
 def _(event: EntryTick, entry: Entry, now, effects):
     for open_job in list(entry.jobs.values()):
+        if entry.end_job_before_stop(open_job, now, effects):
+            continue
         age_s = now - open_job.received_at
         if open_job.unoffered_indexes and age_s > open_job.owner_wait_s():
             reason = NoResultReason.NO_OWNER
--- a/packages/core/carobramp_core/cells/tests/test_entry.py
+++ b/packages/core/carobramp_core/cells/tests/test_entry.py
@@ -5,6 +5,7 @@
 from carobramp_core.cells.entry import (
     AnswerCaller,
     CallerGone,
+    DrainStarted,
     Entry,
     EntryTick,
     JobReceived,
@@ -77,6 +78,55 @@
     ]
 
 
+class DrainTests(EntryCase):
+    """Open jobs of an entry whose process is about to stop."""
+
+    def drain(self, seconds):
+        """Announce the stop; return the outcomes of jobs that end at once."""
+        return answers(self.handle(DrainStarted(self.now + seconds)))
+
+    def tick(self, seconds):
+        """Let time pass and return the outcomes of the jobs that end."""
+        self.now += seconds
+        return answers(self.handle(EntryTick()))
+
+    def test_planned_stop_cuts_off_a_job_that_waits(self):
+        """Guards against connections that close without an answer.
+
+        Jobs whose callers wait for longer than the grace time were open when the
+        process ended.
+        """
+        cell = self.submit(target_ms=9000).cell
+        self.assertEqual(self.drain(2.0), [])
+        self.assertEqual(self.tick(1.0), [])
+        self.now += 0.95
+        effects = self.handle(EntryTick())
+        draining = Interrupted(NoResultReason.DRAINING)
+        self.assertEqual(answers(effects), [draining])
+        self.assertIn(SendToOwner(cell, CancelJob(JOB_ID)), effects)
+
+    def test_job_that_cannot_end_before_the_stop_is_kept(self):
+        """Guards against callers that wait for an answer which is already known."""
+        self.submit(estimate_ms=3000.0, target_ms=9000)
+        self.assertEqual(self.drain(2.0), [Interrupted(NoResultReason.DRAINING)])
+
+    def test_job_that_has_started_is_ended_before_the_last_moment(self):
+        """Guards against work that is thrown away although it could end in time."""
+        cell = self.submit(estimate_ms=3000.0).cell
+        self.receive(cell, TasksStarted(JOB_ID, (0, 1)))
+        self.assertEqual(self.drain(2.0), [])
+        self.assertEqual(self.tick(1.9), [])
+        self.assertEqual(self.tick(0.2), [Interrupted(NoResultReason.DRAINING)])
+
+    def test_job_that_comes_too_late_is_offered(self):
+        """Guards against a job that is interrupted although it need not have run."""
+        self.drain(2.0)
+        (outcome,) = answers(
+            self.handle(JobReceived(job(JOB_ID, 2, estimate_ms=3000.0)))
+        )
+        self.assertEqual(outcome, Refused(NoResultReason.DRAINING, 1.0))
+
+
 class OfferTests(EntryCase):
     """Offers of tasks to owners and the end of jobs."""
 
--- a/packages/daemon/carobramp_daemon/cells/entry.py
+++ b/packages/daemon/carobramp_daemon/cells/entry.py
@@ -7,6 +7,7 @@
 from carobramp_core.cells.entry import (
     AnswerCaller,
     CallerGone,
+    DrainStarted,
     Entry,
     EntryEffect,
     EntryEvent,
@@ -75,6 +76,10 @@
             if self.pending_outcomes.get(job.job_id) is outcome_future:
                 del self.pending_outcomes[job.job_id]
 
+    def drain(self, answer_by):
+        """Answer every job by a time, after which the process stops."""
+        self.dispatch(DrainStarted(answer_by))
+
     def open_request_count(self) -> int:
         """Return the number of jobs whose callers await an outcome."""
         return len(self.pending_outcomes)
--- a/packages/testing/carobramp_testing/tests/test_leased.py
+++ b/packages/testing/carobramp_testing/tests/test_leased.py
@@ -24,7 +24,7 @@
 CAPACITY_NOTICE_S = 3.0
 TASK_CPU = 6800
 FULL_CPU, SHRUNK_CPU = 16000, 9000
-UNAVAILABLE = 503
+UNAVAILABLE, TIMEOUT = 503, 504
 UNEXPECTED_ERRORS = "carobramp_unexpected_errors{"
 
 
@@ -159,6 +159,27 @@
         await asyncio.gather(ending, *jobs)
         self.assertEqual({run.how for run in self.platform.runs()}, {"done"})
 
+    async def test_planned_stop_cuts_off_a_job_that_waits(self):
+        """Guards against connections that close without an answer.
+
+        All upstreams are busy for as long as the process has to stop.
+        """
+        stopped = self.daemon("breda-0")
+        body = leased_job(tasks=12, run_ms=5500)
+        busy = self.deployment.submit(self.daemon("tilburg-0"), "b" * 16, body, "files")
+        occupying = asyncio.create_task(busy)
+        await wait_for(self.all_upstreams_busy)
+        ending = asyncio.create_task(stopped.end(signal.SIGTERM))
+        waiting = await self.submit(stopped, tasks=2, run_ms=1500, queue="files")
+        self.assertEqual(waiting[0], TIMEOUT)
+        await ending
+        self.assertEqual(stopped.child.returncode, 0)
+        self.assertEqual(await occupying, COMPLETED)
+
+    async def all_upstreams_busy(self):
+        """Whether no upstream has capacity for another task."""
+        return all(len(w.running) == 2 for w in self.platform.workers.values())
+
     async def all_started(self):
         """Whether each of six tasks has started."""
         return len({run.task for run in self.platform.runs()}) == 6
