Stop a job that is cancelled while its caller waits

Cause: every DELETE of a job was answered 410 without a look at the open jobs.

Evidence: test_job_runs_on_after_its_cancellation failed with processes on the code before: statuses 410, 410, 410, 410 in place of 410, 200, 410, 200. Of eight new tests of entry and owner, none could be expressed before.

Why this works: the daemon ends the job if it has it, and otherwise tells the owners of all cells, which know the entry of each job, stop its runs and tell that entry. Both remember the job for 10 s, so that a repeated request or offer starts nothing.

--- a/packages/core/carobramp_core/cells/entry.py
+++ b/packages/core/carobramp_core/cells/entry.py
@@ -18,11 +18,14 @@
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import (
     CancelJob,
+    Cancelled,
+    CancelRequest,
     CapacityReport,
     Completed,
     Failed,
     Interrupted,
     Job,
+    JobCancelled,
     LossEvidence,
     NoResultReason,
     Offer,
@@ -69,6 +72,13 @@
     job_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelRequested:
+    """A caller cancels a job, which another entry may have."""
+
+    job_id: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class OwnerLinkOpened:
     """A link to the owner of a cell has opened; `token` is the owner's."""
@@ -132,6 +142,7 @@
 EntryEvent = (
     JobReceived
     | CallerGone
+    | CancelRequested
     | OwnerLinkOpened
     | OwnerLinkClosed
     | OwnerMessageReceived
@@ -158,6 +169,8 @@
         # Names of the upstreams of each cell, as last sent by its owner.
         self.upstreams_by_cell: dict[str, tuple[str, ...]] = {}
         self.crash_records = CrashRecords()
+        # Jobs that callers have cancelled here, with the time of each cancellation.
+        self.cancelled_jobs: dict[str, float] = {}
         # Time by which every job must be answered as the process is about to stop.
         self.answer_by = math.inf
 
@@ -167,6 +180,10 @@
         on_event(event, self, now, effects)
         return effects
 
+    def is_linked_to_all_cells(self) -> bool:
+        """Return whether there is a link to each cell that ever had an owner."""
+        return all(cell in self.cells for cell in self.upstreams_by_cell)
+
     def untried_cells(self, open_job: OpenJob):
         """Return the cells that were not tried, home cell first, then by free cores."""
         untried = [name for name in self.cells if name not in open_job.tried_cells]
@@ -311,6 +328,9 @@
 def _(event: JobReceived, entry: Entry, now, effects):
     open_job = OpenJob(event.job, now)
     entry.jobs[event.job.job_id] = open_job
+    if event.job.job_id in entry.cancelled_jobs:
+        entry.end_job(open_job, Cancelled(), now, effects)
+        return
     if entry.end_crashing_job(open_job, now, effects):
         return
     if entry.end_job_before_stop(open_job, now, effects):
@@ -326,6 +346,18 @@
         entry.end_job(open_job, Interrupted(reason), now, effects)
 
 
+@on_event.register
+def _(event: CancelRequested, entry: Entry, now, effects):
+    oldest = now - entry.limits.cancel_retention_s
+    recent = {k: v for k, v in entry.cancelled_jobs.items() if v > oldest}
+    entry.cancelled_jobs = recent | {event.job_id: now}
+    open_job = entry.jobs.get(event.job_id)
+    if open_job is not None:
+        entry.end_job(open_job, Cancelled(), now, effects)
+    request = CancelRequest(event.job_id)
+    effects.extend(SendToOwner(cell, request) for cell in entry.cells)
+
+
 @on_event.register
 def _(event: OwnerLinkOpened, entry: Entry, now, effects):
     entry.cells[event.cell] = CellView(event.token, reported_at=now)
@@ -418,6 +450,13 @@
     entry.upstreams_by_cell[cell] = message.names
 
 
+@on_message.register
+def _(message: JobCancelled, cell, entry: Entry, now, effects):
+    open_job = entry.jobs.get(message.job_id)
+    if open_job is not None:
+        entry.end_job(open_job, Cancelled(), now, effects)
+
+
 @on_message.register
 def _(message: TasksStarted, cell, entry: Entry, now, effects):
     open_job = entry.jobs.get(message.job_id)
--- a/packages/core/carobramp_core/cells/event_handlers.py
+++ b/packages/core/carobramp_core/cells/event_handlers.py
@@ -16,6 +16,7 @@
 )
 from carobramp_core.cells.messages import (
     CancelJob,
+    CancelRequest,
     Offer,
     Placement,
     ReturnReason,
@@ -85,6 +86,11 @@
         owner.release_job(message.job_id, now, effects)
 
 
+@on_message.register
+def _(message: CancelRequest, entry, owner, now, effects):
+    owner.cancel_job(message.job_id, now, effects)
+
+
 @on_event.register
 def _(event: EntryLinksClosed, owner, now, effects):
     for link in event.links:
@@ -509,5 +515,7 @@
     active.update(offer.job.job_id for _, offer, _ in owner.resumed_offers)
     active.update(owner.runs_by_job)
     owner.entry_by_job = {k: v for k, v in owner.entry_by_job.items() if k in active}
+    recent = now - owner.limits.cancel_retention_s
+    owner.cancelled_jobs = {k: v for k, v in owner.cancelled_jobs.items() if v > recent}
     oldest = now - RESULT_RETENTION_S
     owner.results = {k: v for k, v in owner.results.items() if v[2] > oldest}
--- a/packages/core/carobramp_core/cells/limits.py
+++ b/packages/core/carobramp_core/cells/limits.py
@@ -40,6 +40,8 @@
     entry_reconnect_s : time in which an entry may open a new link before its runs are
         stopped; the sum with `link_timeout_s` and `run_stop_s` must stay below
         `caller_retry_s`
+    cancel_retention_s : time for which owners and entries remember a cancelled job;
+        it must outlast the tasks of a lost owner and a repeated request
     caller_retry_s : time after which a caller without an answer sends its job again
     """
 
@@ -55,6 +57,7 @@
     tick_s: float = 0.05
     orphan_claim_s: float = 0.3
     entry_reconnect_s: float = 0.15
+    cancel_retention_s: float = 10.0
     caller_retry_s: float = 1.3
 
     def lease_expiry_s(self) -> float:
--- a/packages/core/carobramp_core/cells/messages.py
+++ b/packages/core/carobramp_core/cells/messages.py
@@ -161,6 +161,20 @@
     job_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelRequest:
+    """A caller has cancelled the job, whichever entry has it."""
+
+    job_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobCancelled:
+    """A caller has cancelled the job: the owner has stopped its runs."""
+
+    job_id: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TasksReturned:
     """Tasks that the owner returns to the entry; they are not running.
@@ -223,9 +237,10 @@
     losses: tuple[UpstreamLoss, ...]
 
 
-ToOwner = Offer | CancelJob
+ToOwner = Offer | CancelJob | CancelRequest
 ToEntry = (
-    TasksReturned
+    JobCancelled
+    | TasksReturned
     | TasksStarted
     | TaskEnded
     | CapacityReport
@@ -277,4 +292,9 @@
     reason: NoResultReason
 
 
-Outcome = Completed | Failed | Refused | Interrupted
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancelled:
+    """A caller has cancelled the job; some of its tasks may have run."""
+
+
+Outcome = Completed | Failed | Refused | Interrupted | Cancelled
--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -19,6 +19,7 @@
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import (
     CapacityReport,
+    JobCancelled,
     Offer,
     Placement,
     ReturnReason,
@@ -109,6 +110,8 @@
         # Results for which no entry waited, each with the upstream and the time of the
         # result, by job id and index of the task.
         self.results: dict[tuple[str, int], tuple[TaskResult, str, float]] = {}
+        # Jobs that callers have cancelled, with the time of each cancellation.
+        self.cancelled_jobs: dict[str, float] = {}
         # Estimators by queue.
         self.run_time_estimators: dict[str, RunTimeEstimator] = {}
         self.ownership_lost = False
@@ -399,6 +402,9 @@
     def handle_offer(self, entry, offer: Offer, now, effects):
         """Queue, start or return the offered tasks, or attach them to earlier runs."""
         job = offer.job
+        if job.job_id in self.cancelled_jobs:
+            effects.append(SendToEntry(entry, JobCancelled(job.job_id)))
+            return
         self.crash_records.record(offer.losses, now)
         offer = replace_resumed_offers(self, entry, offer)
         self.supersede_entry(entry, job.job_id, effects)
@@ -465,9 +471,10 @@
     def earlier_runs_resolved(self, offer: Offer, now) -> bool:
         """Return whether every earlier run of the offered tasks is known or over.
 
-        Only upstreams of the job's service can have one. Upstreams missing from the list may still have runs: their records expire while
-        they are cut off from the store. The earlier owner stops renewing leases once an
-        upstream rejects its lower token, at the latest in the next poll of an upstream.
+        Only upstreams of the job's service can have one. Upstreams missing from the
+        list may still have runs: their records expire while they are cut off from the
+        store. The earlier owner stops renewing leases once an upstream rejects its
+        lower token, at the latest in the next poll of an upstream.
         """
         if not self.taken_over:
             return True
@@ -491,6 +498,16 @@
             if run.phase != RunPhase.STOPPING:
                 self.stop_run(run, now, effects)
 
+    def cancel_job(self, job_id, now, effects):
+        """Stop a job that a caller has cancelled, and tell its entry."""
+        self.cancelled_jobs[job_id] = now
+        entry = self.entry_by_job.get(job_id)
+        if entry is not None:
+            effects.append(SendToEntry(entry, JobCancelled(job_id)))
+        latest_end = now + self.limits.lease_end_after_cancel_s()
+        self.limit_leases_of_job(job_id, latest_end)
+        self.release_job(job_id, now, effects)
+
     def upstream_names(self) -> UpstreamNames:
         """Return the message that names the cell's upstreams to an entry."""
         return UpstreamNames(tuple(self.upstreams))
--- a/packages/core/carobramp_core/cells/tests/test_entry.py
+++ b/packages/core/carobramp_core/cells/tests/test_entry.py
@@ -5,6 +5,7 @@
 from carobramp_core.cells.entry import (
     AnswerCaller,
     CallerGone,
+    CancelRequested,
     DrainStarted,
     Entry,
     EntryTick,
@@ -16,10 +17,13 @@
 )
 from carobramp_core.cells.messages import (
     CancelJob,
+    Cancelled,
+    CancelRequest,
     CapacityReport,
     Completed,
     Failed,
     Interrupted,
+    JobCancelled,
     NoResultReason,
     Offer,
     Refused,
@@ -28,6 +32,7 @@
     TaskResult,
     TasksReturned,
     TasksStarted,
+    UpstreamNames,
 )
 from carobramp_core.cells.tests.support import LIMITS, job
 
@@ -78,6 +83,49 @@
     ]
 
 
+class CancellationTests(EntryCase):
+    """Jobs that callers cancel."""
+
+    def cancel(self):
+        """Let a caller cancel the job at this entry."""
+        return self.handle(CancelRequested(JOB_ID))
+
+    def test_cancelled_job_runs_on(self):
+        """Guards against work that goes on after its cancellation was acknowledged."""
+        cell = self.submit().cell
+        effects = self.cancel()
+        self.assertEqual(answers(effects), [Cancelled()])
+        self.assertIn(SendToOwner(cell, CancelJob(JOB_ID)), effects)
+
+    def test_job_of_another_entry_is_not_cancelled(self):
+        """Guards against a cancellation that only this entry knows."""
+        expected = [SendToOwner(c, CancelRequest(JOB_ID)) for c in ("breda", "tilburg")]
+        self.assertEqual(self.cancel(), expected)
+
+    def test_job_that_was_cancelled_elsewhere_is_kept(self):
+        """Guards against a caller who waits for a job that was cancelled."""
+        cell = self.submit().cell
+        effects = self.receive(cell, JobCancelled(JOB_ID))
+        self.assertEqual(answers(effects), [Cancelled()])
+        self.assertEqual(self.entry.jobs, {})
+
+    def test_cancelled_job_that_is_sent_again_is_offered(self):
+        """Guards against a start long after the cancellation."""
+        self.cancel()
+        again = self.handle(JobReceived(job(JOB_ID)))
+        self.assertEqual((answers(again), offers(again)), ([Cancelled()], []))
+        self.now += LIMITS.cancel_retention_s + 1
+        self.handle(CancelRequested("0" * 16))
+        self.assertEqual(list(self.entry.cancelled_jobs), ["0" * 16])
+
+    def test_owner_that_cannot_be_told(self):
+        """Guards against an acknowledgement while a cell's owner cannot be reached."""
+        self.receive("breda", UpstreamNames(()))
+        self.assertTrue(self.entry.is_linked_to_all_cells())
+        self.handle(OwnerLinkClosed("breda", self.now))
+        self.assertFalse(self.entry.is_linked_to_all_cells())
+
+
 class DrainTests(EntryCase):
     """Open jobs of an entry whose process is about to stop."""
 
--- a/packages/core/carobramp_core/cells/tests/test_owner.py
+++ b/packages/core/carobramp_core/cells/tests/test_owner.py
@@ -5,6 +5,8 @@
 
 from carobramp_core.cells.limits import CLOCK_DRIFT
 from carobramp_core.cells.messages import (
+    CancelRequest,
+    JobCancelled,
     ReturnReason,
     TaskEnded,
     TaskResult,
@@ -12,6 +14,7 @@
 )
 from carobramp_core.cells.orders import (
     ActiveRun,
+    EntryMessageReceived,
     Listing,
     NoAnswer,
     OwnershipLost,
@@ -563,6 +566,48 @@
         self.assertEqual(harness.owner.upstreams["i-1"].runs, {})
 
 
+class CancelRequestTests(unittest.TestCase):
+    """Jobs that a caller cancels at an entry that does not have them."""
+
+    def setUp(self):
+        """Start a task of a job of one entry, and let another one wait."""
+        self.harness = OwnerHarness(upstream(cpu=6800))
+        self.harness.answer_poll()
+        self.item = job(tasks=2, target_ms=9000)
+        (self.order,) = starts(self.harness.offer(self.item, entry="front-1"))
+        self.harness.accept(self.order)
+
+    def request(self, job_id):
+        """Let another entry request the cancellation of a job."""
+        message = CancelRequest(job_id)
+        return self.harness.handle(EntryMessageReceived("front-2", message))
+
+    def test_job_of_another_entry_runs_on(self):
+        """Guards against work that nobody waits for after its cancellation."""
+        effects = self.request(self.item.job_id)
+        self.assertEqual([o.run_id for o in stops(effects)], [self.order.run_id])
+        (told,) = [effect for effect in effects if isinstance(effect, SendToEntry)]
+        expected = SendToEntry("front-1", JobCancelled(self.item.job_id))
+        self.assertEqual(told, expected)
+        self.assertEqual(self.harness.owner.waiting, [])
+
+    def test_unclaimed_run_of_a_cancelled_job_runs_on(self):
+        """Guards against runs of an earlier owner that outlive a cancellation."""
+        harness = self.harness = OwnerHarness(upstream(), taken_over=True)
+        run = ActiveRun(RunId(self.item.job_id, 0, 7), 40)
+        harness.answer_poll(running=[run])
+        self.assertEqual(len(stops(self.request(self.item.job_id))), 1)
+
+    def test_cancelled_job_is_offered_again(self):
+        """Guards against a start after the cancellation was acknowledged."""
+        self.request("0" * 16)
+        effects = self.harness.offer(job("0" * 16), entry="front-1")
+        self.assertEqual(messages(effects, JobCancelled), [JobCancelled("0" * 16)])
+        self.assertNotIn("0" * 16, self.harness.owner.entry_by_job)
+        self.harness.tick(LIMITS.cancel_retention_s + 1)
+        self.assertEqual(self.harness.owner.cancelled_jobs, {})
+
+
 class RunNumberTests(unittest.TestCase):
     """Run numbers, which rise from owner to owner."""
 
--- a/packages/daemon/carobramp_daemon/cells/entry.py
+++ b/packages/daemon/carobramp_daemon/cells/entry.py
@@ -1,12 +1,14 @@
 """Service that runs the jobs of a daemon's callers and answers them."""
 
 import asyncio
+import enum
 
 from mode import Service
 
 from carobramp_core.cells.entry import (
     AnswerCaller,
     CallerGone,
+    CancelRequested,
     DrainStarted,
     Entry,
     EntryEffect,
@@ -25,6 +27,19 @@
 from carobramp_daemon.cells.supervised_tasks import contain_errors
 
 
+class CancelResult(enum.Enum):
+    """What became of the request to cancel a job.
+
+    CANCELLED: this entry had the job. FORWARDED: the owners of all cells stop it if
+    there is one. OWNER_UNREACHABLE: nothing was done, as the owner of a cell could not
+    be told.
+    """
+
+    CANCELLED = "cancelled"
+    FORWARDED = "forwarded"
+    OWNER_UNREACHABLE = "owner_unreachable"
+
+
 class EntryService(Service):
     """Submits jobs to the owners of cells and answers the callers of one daemon.
 
@@ -76,6 +91,14 @@
             if self.pending_outcomes.get(job.job_id) is outcome_future:
                 del self.pending_outcomes[job.job_id]
 
+    def cancel(self, job_id) -> CancelResult:
+        """Cancel a job of this entry or of any other."""
+        if not self.entry.is_linked_to_all_cells():
+            return CancelResult.OWNER_UNREACHABLE
+        found = job_id in self.entry.jobs
+        self.dispatch(CancelRequested(job_id))
+        return CancelResult.CANCELLED if found else CancelResult.FORWARDED
+
     def drain(self, answer_by):
         """Answer every job by a time, after which the process stops."""
         self.dispatch(DrainStarted(answer_by))
--- a/packages/daemon/carobramp_daemon/cells/frames.py
+++ b/packages/daemon/carobramp_daemon/cells/frames.py
@@ -7,8 +7,10 @@
 from carobramp_core.cells.claims import Deputy
 from carobramp_core.cells.messages import (
     CancelJob,
+    CancelRequest,
     CapacityReport,
     Job,
+    JobCancelled,
     LossEvidence,
     Offer,
     Placement,
@@ -70,6 +72,16 @@
     return pb.Frame(cancel=pb.Cancel(job_id=message.job_id))
 
 
+@encode.register
+def _(message: CancelRequest):
+    return pb.Frame(cancel_request=pb.Cancel(job_id=message.job_id))
+
+
+@encode.register
+def _(message: JobCancelled):
+    return pb.Frame(cancelled=pb.Cancel(job_id=message.job_id))
+
+
 @encode.register
 def _(message: TasksReturned):
     returned = pb.Returned(
@@ -246,6 +258,8 @@
 DECODERS: dict[str, Callable] = {
     "offer": decode_offer,
     "cancel": lambda cancel: CancelJob(cancel.job_id),
+    "cancel_request": lambda cancel: CancelRequest(cancel.job_id),
+    "cancelled": lambda cancel: JobCancelled(cancel.job_id),
     "returned": decode_tasks_returned,
     "started": decode_tasks_started,
     "task_ended": decode_task_ended,
--- a/packages/daemon/carobramp_daemon/tests/test_links.py
+++ b/packages/daemon/carobramp_daemon/tests/test_links.py
@@ -4,7 +4,7 @@
 from unittest import mock
 
 from carobramp_core.cells.limits import CellLimits
-from carobramp_core.cells.messages import CancelJob
+from carobramp_core.cells.messages import CancelJob, CancelRequest, JobCancelled
 from carobramp_daemon.cells import frames, links
 
 LIMITS = CellLimits()
@@ -75,6 +75,11 @@
             self.link.data_received(bytes([byte]))
         self.assertEqual(self.received, [CancelJob("a"), CancelJob("b")])
 
+    def test_cancellations_arrive_as_they_were_sent(self):
+        """Guards against a message that the other end takes for another one."""
+        for message in (CancelJob("a"), CancelRequest("a"), JobCancelled("a")):
+            self.assertEqual(frames.decode(frames.encode(message)), message)
+
     def test_frames_echo_the_newest_time_of_the_peer(self):
         """Guards against frames without echo, for which both ends close the link."""
         self.link.data_received(self.frame("a"))
--- a/packages/testing/carobramp_testing/leased.py
+++ b/packages/testing/carobramp_testing/leased.py
@@ -224,6 +224,16 @@
         except CONNECTION_ERRORS:
             return 0, None
 
+    async def cancel(self, daemon: Daemon, job_id, queue="previews"):
+        """Cancel a job and return the status; 0 for no answer."""
+        try:
+            async with self.session.delete(
+                f"{daemon.url()}/{queue}/{job_id}", headers={"Host": HOST}
+            ) as reply:
+                return reply.status
+        except CONNECTION_ERRORS:
+            return 0
+
     async def metrics(self, daemon: Daemon):
         """Return the metrics of a daemon as text."""
         async with self.session.get(daemon.url(METRICS_PORT) + "/metrics") as reply:
--- a/packages/testing/carobramp_testing/tests/test_leased.py
+++ b/packages/testing/carobramp_testing/tests/test_leased.py
@@ -17,6 +17,10 @@
 
 COMPLETED = (HTTP_OK, {"state": "completed"})
 FAILED = (HTTP_OK, {"state": "failed"})
+CANCELLED = (HTTP_OK, {"state": "cancelled"})
+# Time in which a run has to end after its cancellation was acknowledged; the platform
+# grants three seconds.
+STOP_NOTICE_S = 1.0
 # Upstreams that may crash under a task before it is given up.
 MAX_CRASHES = 2
 IN_FORCE_S = 2.0
@@ -24,7 +28,7 @@
 CAPACITY_NOTICE_S = 3.0
 TASK_CPU = 6800
 FULL_CPU, SHRUNK_CPU = 16000, 9000
-UNAVAILABLE, TIMEOUT = 503, 504
+UNAVAILABLE, TIMEOUT, GONE = 503, 504, 410
 UNEXPECTED_ERRORS = "carobramp_unexpected_errors{"
 
 
@@ -102,6 +106,36 @@
         self.assertIn('carobramp_jobs{kind="completed"} 1', text)
 
 
+class CancellationTests(LeasedCase):
+    """Jobs that are cancelled while their callers wait."""
+
+    async def test_job_runs_on_after_its_cancellation(self):
+        """Guards against work that goes on after its cancellation was acknowledged.
+
+        Every second job is cancelled at a daemon that does not have it.
+        """
+        daemons = list(self.deployment.daemons.values())
+        ids = [f"{number:016x}" for number in range(4)]
+        body = leased_job(tasks=1, run_ms=3000)
+        jobs = [
+            asyncio.create_task(self.deployment.submit(daemon, job_id, body, "files"))
+            for daemon, job_id in zip(daemons, ids, strict=True)
+        ]
+        await wait_for(self.all_run)
+        statuses = []
+        for number, job_id in enumerate(ids):
+            daemon = daemons[number if number % 2 else number - 1]
+            statuses.append(await self.deployment.cancel(daemon, job_id, "files"))
+        self.assertEqual(statuses, [GONE, HTTP_OK, GONE, HTTP_OK])
+        self.assertEqual(await asyncio.gather(*jobs), [CANCELLED] * 4)
+        await asyncio.sleep(STOP_NOTICE_S)
+        self.assertEqual({run.how for run in self.platform.runs()}, {"stopped"})
+
+    async def all_run(self):
+        """Whether each of four tasks runs."""
+        return len(self.platform.runs()) == 4
+
+
 class FaultTests(LeasedCase):
     """Daemons and upstreams that fail."""
 
