--- a/packages/core/carobramp_core/cells/entry.py
+++ b/packages/core/carobramp_core/cells/entry.py
@@ -181,8 +181,12 @@
         return effects
 
     def is_linked_to_all_cells(self) -> bool:
-        """Return whether there is a link to each cell that ever had an owner."""
-        return all(cell in self.cells for cell in self.upstreams_by_cell)
+        """Return whether there is a link to each cell that ever had an owner.
+
+        Only cells to which there ever was a link are known.
+        """
+        known = self.upstreams_by_cell
+        return bool(self.cells) and all(cell in self.cells for cell in known)
 
     def untried_cells(self, open_job: OpenJob):
         """Return the cells that were not tried, home cell first, then by free cores."""
--- a/packages/core/carobramp_core/cells/tests/test_entry.py
+++ b/packages/core/carobramp_core/cells/tests/test_entry.py
@@ -124,6 +124,7 @@
         self.assertTrue(self.entry.is_linked_to_all_cells())
         self.handle(OwnerLinkClosed("breda", self.now))
         self.assertFalse(self.entry.is_linked_to_all_cells())
+        self.assertFalse(Entry("tilburg", LIMITS).is_linked_to_all_cells())
 
 
 class DrainTests(EntryCase):
