Remember the upstreams that an owner has ceased to list

Cause: an entry tells a new owner on which upstreams a task may still run, and took them from the list of the last owner. In a zone that was cut off for more than 4.5 s entries expire, so that the first of two new owners lists few upstreams; the second one then took all earlier runs for known and started the task again.

Evidence: test_owner_with_a_short_list_hides_a_run_from_the_next_owner failed before (members ('i-2',) in place of ('i-1', 'i-2')).

Why this works: an entry names an upstream for 1.72 s after an owner has ceased to list it, the time after which the runs of a lost owner are over. A new owner waits for it.

--- a/packages/core/carobramp_core/cells/entry.py
+++ b/packages/core/carobramp_core/cells/entry.py
@@ -166,8 +166,9 @@
         self.limits = limits
         self.jobs: dict[str, OpenJob] = {}
         self.cells: dict[str, CellView] = {}
-        # Names of the upstreams of each cell, as last sent by its owner.
-        self.upstreams_by_cell: dict[str, tuple[str, ...]] = {}
+        # Names of the upstreams of each cell, with the time at which an owner of the
+        # cell ceased to list them, infinite for those that are listed.
+        self.upstreams_by_cell: dict[str, dict[str, float]] = {}
         self.crash_records = CrashRecords()
         # Jobs that callers have cancelled here, with the time of each cancellation.
         self.cancelled_jobs: dict[str, float] = {}
@@ -188,6 +189,16 @@
         known = self.upstreams_by_cell
         return bool(self.cells) and all(cell in self.cells for cell in known)
 
+    def members(self, cell, now) -> tuple[str, ...]:
+        """Return the upstreams of a cell that may have runs of its earlier owners.
+
+        Entries of upstreams that are cut off from the store expire. An owner that does
+        not list an upstream says nothing of the runs there.
+        """
+        listed_until = self.upstreams_by_cell.get(cell, {})
+        oldest = now - self.limits.run_end_after_link_loss_s()
+        return tuple(name for name, at in listed_until.items() if at >= oldest)
+
     def untried_cells(self, open_job: OpenJob):
         """Return the cells that were not tried, home cell first, then by free cores."""
         untried = [name for name in self.cells if name not in open_job.tried_cells]
@@ -240,7 +251,6 @@
         resumed=False,
     ):
         """Send one offer to the owner of a cell, and record and log it."""
-        members = self.upstreams_by_cell.get(cell, ())
         offer = Offer(
             open_job.job,
             tuple(sorted(indexes)),
@@ -249,7 +259,7 @@
             resumed,
             open_job.committed(),
             open_job.avoid,
-            members if resumed else (),
+            self.members(cell, now) if resumed else (),
             self.crash_records.losses_of(open_job.job.job_id),
             open_job.placements_of(indexes) if resumed else (),
         )
@@ -451,7 +461,14 @@
 
 @on_message.register
 def _(message: UpstreamNames, cell, entry: Entry, now, effects):
-    entry.upstreams_by_cell[cell] = message.names
+    listed_until = entry.upstreams_by_cell.get(cell, {})
+    unlisted = {
+        name: min(listed_until[name], now)
+        for name in entry.members(cell, now)
+        if name not in message.names
+    }
+    listed = dict.fromkeys(message.names, math.inf)
+    entry.upstreams_by_cell[cell] = unlisted | listed
 
 
 @on_message.register
--- a/packages/core/carobramp_core/cells/tests/test_entry.py
+++ b/packages/core/carobramp_core/cells/tests/test_entry.py
@@ -83,6 +83,46 @@
     ]
 
 
+class TakeoverInARowTests(EntryCase):
+    """Cells whose owner is replaced twice within moments."""
+
+    def replace_owner(self, token, *names):
+        """Let an owner that lists some upstreams take the cell over.
+
+        Returns the offers that it gets.
+        """
+        self.handle(OwnerLinkClosed("tilburg", self.now))
+        effects = self.handle(OwnerLinkOpened("tilburg", token))
+        self.receive("tilburg", UpstreamNames(names))
+        return [offer for _, offer in offers(effects)]
+
+    def setUp(self):
+        """Start a job at an owner that lists two upstreams."""
+        super().setUp()
+        self.receive("tilburg", UpstreamNames(("i-1", "i-2")))
+        self.submit()
+        self.receive("tilburg", TasksStarted(JOB_ID, (0, 1)))
+
+    def test_owner_with_a_short_list_hides_a_run_from_the_next_owner(self):
+        """Guards against two runs of a task after two takeovers in a row.
+
+        Entries of upstreams expire while a zone is cut off from the store, so that the
+        first new owner lists few of them.
+        """
+        (first,) = self.replace_owner(2, "i-2")
+        self.assertEqual(first.members, ("i-1", "i-2"))
+        self.now += 0.3
+        (second,) = self.replace_owner(3, "i-2")
+        self.assertEqual(second.members, ("i-1", "i-2"))
+
+    def test_upstream_that_is_long_gone_is_waited_for(self):
+        """Guards against tasks that wait for an upstream whose runs are over."""
+        self.replace_owner(2, "i-2")
+        self.now += LIMITS.run_end_after_link_loss_s() + 0.1
+        (offer,) = self.replace_owner(3, "i-2")
+        self.assertEqual(offer.members, ("i-2",))
+
+
 class CancellationTests(EntryCase):
     """Jobs that callers cancel."""
 
