End the jobs of a process that was paused for longer than a lease

Cause: after a pause an owner closes the stale links of other processes. The link to the entry of its own process has no echo: tasks that waited for it started, and requests from its sockets were accepted, although their callers may have sent the jobs to another zone.

Evidence: test_paused_owner_starts_tasks_of_the_entry_in_its_own_process failed before (1 start after a pause of 1.1 s in place of 0).

Why this works: after more than a lease the entry ends its jobs and refuses requests for 0.2 s, and the owner drops what waits for it. All leases have expired and all links are stale by then, so nothing is lost, and no caller can have asked again earlier.

--- a/packages/core/carobramp_core/cells/entry.py
+++ b/packages/core/carobramp_core/cells/entry.py
@@ -111,6 +111,11 @@
     """Periodic event that triggers what depends on time alone."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LongPauseEnded:
+    """The process goes on after a long pause, see `CellLimits.is_long_pause`."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DrainStarted:
     """The process is about to stop; every job must be answered by `answer_by`."""
@@ -147,6 +152,7 @@
     | OwnerLinkClosed
     | OwnerMessageReceived
     | EntryTick
+    | LongPauseEnded
     | DrainStarted
 )
 EntryEffect = SendToOwner | AnswerCaller | LogEvent
@@ -172,6 +178,8 @@
         self.crash_records = CrashRecords()
         # Jobs that callers have cancelled here, with the time of each cancellation.
         self.cancelled_jobs: dict[str, float] = {}
+        # End of the last long pause of the process.
+        self.paused_until = -math.inf
         # Time by which every job must be answered as the process is about to stop.
         self.answer_by = math.inf
 
@@ -342,6 +350,11 @@
 def _(event: JobReceived, entry: Entry, now, effects):
     open_job = OpenJob(event.job, now)
     entry.jobs[event.job.job_id] = open_job
+    if now - entry.paused_until < entry.limits.pause_settle_s:
+        # The request may have been sent before the pause, and again elsewhere since.
+        reason = NoResultReason.INTERRUPTED
+        entry.refuse_job(open_job, reason, RETRY_AFTER_S, now, effects)
+        return
     if event.job.job_id in entry.cancelled_jobs:
         entry.end_job(open_job, Cancelled(), now, effects)
         return
@@ -408,6 +421,14 @@
     effects.append(LogEvent("link to an owner closed", fields))
 
 
+@on_event.register
+def _(event: LongPauseEnded, entry: Entry, now, effects):
+    entry.paused_until = now
+    reason = NoResultReason.INTERRUPTED
+    for open_job in list(entry.jobs.values()):
+        entry.refuse_job(open_job, reason, RETRY_AFTER_S, now, effects)
+
+
 @on_event.register
 def _(event: DrainStarted, entry: Entry, now, effects):
     entry.answer_by = event.answer_by
--- a/packages/core/carobramp_core/cells/event_handlers.py
+++ b/packages/core/carobramp_core/cells/event_handlers.py
@@ -25,6 +25,7 @@
 )
 from carobramp_core.cells.orders import (
     Accepted,
+    EntriesPaused,
     EntryLinksClosed,
     EntryMessageReceived,
     Listing,
@@ -106,6 +107,17 @@
         effects.append(LogEvent("link to an entry closed", fields))
 
 
+@on_event.register
+def _(event: EntriesPaused, owner, now, effects):
+    owner.waiting = [task for task in owner.waiting if task.entry not in event.entries]
+    owner.resumed_offers = [
+        pending for pending in owner.resumed_offers if pending[0] not in event.entries
+    ]
+    for run in owner.runs.values():
+        if run.entry in event.entries:
+            run.requeue = False
+
+
 @on_event.register
 def _(event: UpstreamsListed, owner, now, effects):
     owner.upstreams_listed = True
--- a/packages/core/carobramp_core/cells/limits.py
+++ b/packages/core/carobramp_core/cells/limits.py
@@ -28,6 +28,8 @@
     poll_margin_s : time after its wait at which a poll counts as unanswered; two
         unanswered polls in a row must fit into the lease
     run_stop_s : time that an upstream takes to stop a run
+    pause_settle_s : time after a pause of the process in which requests that have
+        waited in its sockets are read
     start_lease_min_s : shortest lease with which a run is started; it must outlast
         the polls that renew it
     link_timeout_s : age of the newest echo at which a link between entry and owner
@@ -51,6 +53,7 @@
     order_timeout_s: float = 0.06
     poll_margin_s: float = 0.1
     run_stop_s: float = 0.05
+    pause_settle_s: float = 0.2
     start_lease_min_s: float = 0.5
     link_timeout_s: float = 0.4
     heartbeat_s: float = 0.1
@@ -74,6 +77,14 @@
         """
         return self.orphan_claim_s + self.busy_poll_wait_s + self.poll_margin_s
 
+    def is_long_pause(self, paused_s) -> bool:
+        """Return whether callers may have sent their jobs again during a pause.
+
+        All leases have expired by then, and links are stale. Shorter pauses end before
+        `caller_retry_s` is over for a caller whose connection broke as they began.
+        """
+        return paused_s > self.lease_s
+
     def lease_end_before_retry_s(self) -> float:
         """Return the time from the loss of an entry to the end of its runs' leases.
 
--- a/packages/core/carobramp_core/cells/orders.py
+++ b/packages/core/carobramp_core/cells/orders.py
@@ -206,6 +206,13 @@
     links: tuple[ClosedLink, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntriesPaused:
+    """The process of these entries was paused for so long that they end their jobs."""
+
+    entries: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamsListed:
     """The list of the cell's upstreams has been read."""
@@ -278,6 +285,7 @@
 OwnerEvent = (
     EntryMessageReceived
     | EntryLinksClosed
+    | EntriesPaused
     | UpstreamsListed
     | PollAnswered
     | StartAnswered
--- a/packages/core/carobramp_core/cells/tests/test_entry.py
+++ b/packages/core/carobramp_core/cells/tests/test_entry.py
@@ -10,6 +10,7 @@
     Entry,
     EntryTick,
     JobReceived,
+    LongPauseEnded,
     OwnerLinkClosed,
     OwnerLinkOpened,
     OwnerMessageReceived,
@@ -83,6 +84,34 @@
     ]
 
 
+class LongPauseTests(EntryCase):
+    """Jobs and requests of a process that was paused."""
+
+    def test_job_is_kept_after_a_long_pause(self):
+        """Guards against tasks that start after their caller has asked elsewhere."""
+        cell = self.submit(target_ms=9000).cell
+        self.now += 4.0
+        effects = self.handle(LongPauseEnded())
+        interrupted = Interrupted(NoResultReason.INTERRUPTED)
+        self.assertEqual(answers(effects), [interrupted])
+        self.assertIn(SendToOwner(cell, CancelJob(JOB_ID)), effects)
+
+    def test_request_that_has_waited_during_the_pause_is_run(self):
+        """Guards against tasks that start after their caller has asked elsewhere."""
+        self.handle(LongPauseEnded())
+        effects = self.handle(JobReceived(job(JOB_ID)))
+        refused = Refused(NoResultReason.INTERRUPTED, 1.0)
+        self.assertEqual((answers(effects), offers(effects)), ([refused], []))
+        self.now += LIMITS.pause_settle_s
+        self.assertIsInstance(self.submit().message, Offer)
+
+    def test_callers_ask_elsewhere_during_a_pause_that_is_not_long(self):
+        """Guards against limits that leave time for a second run."""
+        pause_s = LIMITS.lease_s
+        self.assertFalse(LIMITS.is_long_pause(pause_s))
+        self.assertLess(pause_s + LIMITS.pause_settle_s, LIMITS.caller_retry_s)
+
+
 class TakeoverInARowTests(EntryCase):
     """Cells whose owner is replaced twice within moments."""
 
--- a/packages/core/carobramp_core/cells/tests/test_owner.py
+++ b/packages/core/carobramp_core/cells/tests/test_owner.py
@@ -14,6 +14,7 @@
 )
 from carobramp_core.cells.orders import (
     ActiveRun,
+    EntriesPaused,
     EntryMessageReceived,
     Listing,
     NoAnswer,
@@ -566,6 +567,30 @@
         self.assertEqual(harness.owner.upstreams["i-1"].runs, {})
 
 
+class PausedEntryTests(unittest.TestCase):
+    """The entry in the process of an owner that was paused for long."""
+
+    def test_waiting_and_resumed_tasks_start(self):
+        """Guards against a start after the entry has ended the job."""
+        harness = OwnerHarness(upstream("i-1"), upstream("i-2"), taken_over=True)
+        harness.answer_poll("i-1", running=[ActiveRun(RunId("0" * 16, 0, 7), 40)])
+        harness.offer(job("1" * 16, target_ms=9000), entry="tilburg-0", resumed=True)
+        harness.offer(job("2" * 16, target_ms=9000), entry="tilburg-0")
+        harness.handle(EntriesPaused(("tilburg-0",)))
+        harness.offer(job("0" * 16), entry="breda-0", resumed=True)
+        self.assertEqual(starts(harness.answer_poll("i-2")), [])
+
+    def test_task_whose_run_was_lost_is_queued_again(self):
+        """Guards against a start after the entry has ended the job."""
+        harness = OwnerHarness(upstream())
+        harness.answer_poll()
+        (order,) = starts(harness.offer(job(target_ms=9000), entry="tilburg-0"))
+        harness.lose_start(order)
+        harness.handle(EntriesPaused(("tilburg-0",)))
+        lost = harness.answer_poll(ended=[ended(order, RunEndKind.LEASE_EXPIRED)])
+        self.assertEqual(starts([*lost, *harness.tick(LIMITS.tick_s)]), [])
+
+
 class CancelRequestTests(unittest.TestCase):
     """Jobs that a caller cancels at an entry that does not have them."""
 
--- a/packages/daemon/carobramp_daemon/cells/coordinator.py
+++ b/packages/daemon/carobramp_daemon/cells/coordinator.py
@@ -483,6 +483,7 @@
         while not self.should_stop:
             await asyncio.sleep(self.limits.heartbeat_s)
             with contain_errors(self, "maintain_open_links"):
+                self.entry_service.check_pause()
                 self.entry_links.close_stale()
                 for state in self.cells.values():
                     if state.link is not None:
--- a/packages/daemon/carobramp_daemon/cells/entry.py
+++ b/packages/daemon/carobramp_daemon/cells/entry.py
@@ -15,6 +15,7 @@
     EntryEvent,
     EntryTick,
     JobReceived,
+    LongPauseEnded,
     OwnerLinkClosed,
     OwnerLinkOpened,
     OwnerMessageReceived,
@@ -62,9 +63,15 @@
         self.event_log = log
         self.links: dict[str, Link] = {}
         self.pending_outcomes: dict[str, asyncio.Future] = {}
+        # Time at which the process was last seen to run.
+        self.running_at = now()
         # Set while the entry has open jobs: only these depend on ticks.
         self.has_jobs = asyncio.Event()
 
+    async def on_start(self):
+        """Count the time of the process from here on."""
+        self.running_at = now()
+
     async def submit(self, job: Job) -> Outcome:
         """Run a job and return its outcome.
 
@@ -138,6 +145,7 @@
 
         Returns False if the entry failed to handle the event.
         """
+        self.check_pause()
         effects = None
         with contain_errors(self, type(event).__name__):
             effects = self.entry.handle(event, now())
@@ -146,6 +154,21 @@
                 self.carry_out(effect)
         return effects is not None
 
+    def check_pause(self):
+        """End all jobs if the process was paused for long since the last check.
+
+        Something must call this more often than the shortest long pause.
+        """
+        paused_s = now() - self.running_at
+        self.running_at = now()
+        if self.entry.limits.is_long_pause(paused_s):
+            self.event_log.info(
+                "process was paused",
+                paused_s=round(paused_s, 3),
+                open_jobs=len(self.entry.jobs),
+            )
+            self.dispatch(LongPauseEnded())
+
     def carry_out(self, effect: EntryEffect):
         """Carry out one effect of the entry."""
         if isinstance(effect, SendToOwner):
--- a/packages/daemon/carobramp_daemon/cells/owner.py
+++ b/packages/daemon/carobramp_daemon/cells/owner.py
@@ -11,6 +11,7 @@
 from carobramp_core.cells.messages import UpstreamLosses
 from carobramp_core.cells.orders import (
     ClosedLink,
+    EntriesPaused,
     EntryLinksClosed,
     EntryMessageReceived,
     Listing,
@@ -173,13 +174,18 @@
         """Pass an event to the owner and carry out the effects that it returns.
 
         After a pause of this process stale links are closed first: their entries may
-        have offered their tasks to other cells. A message of an entry without an open
-        link is dropped, as nothing would end the runs that it leads to.
+        have offered their tasks to other cells. After a long one the entry of this
+        process ends its jobs, so that none of its tasks may start. A message of an
+        entry without an open link is dropped, as nothing would end the runs that it
+        leads to.
         """
         paused_s = now() - self.dispatched_at
         self.dispatched_at = now()
         if paused_s > PAUSE_TICKS * self.limits.tick_s:
             self.close_stale_links(paused_s)
+        if self.limits.is_long_pause(paused_s):
+            local = (name for name, link in self.links.items() if not is_remote(link))
+            self.dispatch(EntriesPaused(tuple(local)))
         if isinstance(event, EntryMessageReceived) and event.entry not in self.links:
             self.event_log.info(
                 "message of a disconnected entry dropped",
--- a/packages/daemon/carobramp_daemon/tests/test_cell_entry.py
+++ b/packages/daemon/carobramp_daemon/tests/test_cell_entry.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from carobramp_core.cells.entry import Entry
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import (
     CapacityReport,
     Completed,
+    Interrupted,
+    NoResultReason,
     Offer,
     ReturnReason,
     TaskEnded,
@@ -15,6 +18,7 @@
     TasksReturned,
 )
 from carobramp_core.cells.tests.support import job
+from carobramp_daemon.cells import entry as entry_module
 from carobramp_daemon.cells.entry import EntryService
 from carobramp_daemon.logs import Log
 from carobramp_daemon.metrics import Metrics
@@ -59,6 +63,15 @@
         self.answer.cancel()
         await asyncio.gather(self.answer, return_exceptions=True)
 
+    async def test_job_outlives_a_long_pause_of_the_process(self):
+        """Guards against tasks that start after their caller has asked elsewhere."""
+        later = self.service.running_at + CellLimits().lease_s + 0.1
+        with mock.patch.object(entry_module, "now", lambda: later):
+            self.service.check_pause()
+            self.service.check_pause()
+        outcome = await asyncio.wait_for(self.answer, 1.0)
+        self.assertEqual(outcome, Interrupted(NoResultReason.INTERRUPTED))
+
     async def test_message_of_former_owner_is_dropped(self):
         """Guards against tasks that run in two cells.
 
--- a/packages/daemon/carobramp_daemon/tests/test_paused_owner.py
+++ b/packages/daemon/carobramp_daemon/tests/test_paused_owner.py
@@ -75,6 +75,22 @@
         self.assertEqual(starts(self.carried_out), [])
         self.assertNotIn("f" * 16, self.harness.owner.entry_by_job)
 
+    def test_paused_owner_starts_tasks_of_the_entry_in_its_own_process(self):
+        """Guards against a start after the caller has asked another daemon.
+
+        A caller whose connection broke during a long pause has sent its job again.
+        """
+        for pause_s, started in ((LIMITS.lease_s - 0.1, 1), (LIMITS.lease_s + 0.1, 0)):
+            with self.subTest(pause_s):
+                self.setUp()
+                self.service.links = {"tilburg-0": mock.Mock()}
+                self.harness.owner.waiting = []
+                waiting = offer(job("f" * 16, target_ms=9000))
+                self.service.dispatch(EntryMessageReceived("tilburg-0", waiting))
+                self.carried_out.clear()
+                self.harness.now += pause_s
+                self.assertEqual(len(self.end_first_task()), started)
+
     def test_link_with_a_recent_echo_is_kept(self):
         """Guards against tasks that are dropped although their entry is connected."""
         self.harness.now += LIMITS.link_timeout_s + 1.0
