--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -72,8 +72,8 @@
         carry a token derived from it, see `Upstream.fencing_token`
     taken_over : whether an earlier owner may have left runs behind
     losses : losses of upstreams that the daemon of this owner knows
-    predecessor_heard_at : time at which some daemon last heard the earlier owner, at
-        most; entries may have been lost with it. Minus infinity if no daemon has
+    predecessor_heard_at : latest time at which a daemon heard the earlier owner, with
+        which entries may have been lost; minus infinity if no daemon has heard it
     """
 
     def __init__(
--- a/packages/daemon/carobramp_daemon/cells/coordinator.py
+++ b/packages/daemon/carobramp_daemon/cells/coordinator.py
@@ -338,7 +338,7 @@
         await self.claim(state, row, version, heard_at)
 
     def owner_heard_at(self, state: CellState) -> float:
-        """Return when this daemon last heard an owner of a cell, at most.
+        """Return when this daemon last heard an owner of a cell, at the latest.
 
         Minus infinity if it never has.
         """
--- a/packages/testing/carobramp_testing/models/cell_world.py
+++ b/packages/testing/carobramp_testing/models/cell_world.py
@@ -34,6 +34,7 @@
 
     limits = CellLimits()
     steps = STEPS
+    owner_type = CellOwner
 
     def __init__(self, faults):
         self.now = 0.0
@@ -65,7 +66,7 @@
 
     def new_owner(self, cell, token, taken_over) -> CellOwner:
         """Return the decisions of an owner."""
-        return CellOwner(
+        return self.owner_type(
             cell,
             token,
             self.limits,
--- a/packages/testing/carobramp_testing/models/cells.py
+++ b/packages/testing/carobramp_testing/models/cells.py
@@ -117,7 +117,9 @@
 
     def __init__(self, faults, without):
         self.without = without
-        if without == ABANDONED:
+        if without == SETTLED:
+            self.owner_type = SettledOwner
+        elif without == ABANDONED:
             self.limits = HastyLimits()
         elif without == LOST_ENTRY:
             self.limits = UnlimitedLeases(entry_reconnect_s=60.0)
@@ -127,18 +129,6 @@
         for upstream in self.upstreams:
             upstream.fences = without != FENCE
 
-    def new_owner(self, cell, token, taken_over):
-        """Return the decisions of an owner."""
-        kind = SettledOwner if self.without == SETTLED else CellOwner
-        return kind(
-            cell,
-            token,
-            self.limits,
-            self.now,
-            taken_over,
-            predecessor_heard_at=self.predecessor_heard_at(),
-        )
-
     def silent(self, link, end):
         """Whether an end has no recent echo."""
         if self.without == ECHO and end is link.owner:
