--- a/packages/core/carobramp_core/cells/entry.py
+++ b/packages/core/carobramp_core/cells/entry.py
@@ -43,6 +43,7 @@
 )
 from carobramp_core.cells.open_jobs import CellView, LostTasks, OpenJob
 from carobramp_core.cells.orders import LogEvent
+from carobramp_schema.generated.scheduling import SchedulingSettings
 
 RETRY_AFTER_S = 1.0
 MS_PER_S = 1000
@@ -165,11 +166,18 @@
     ==========
 
     home_cell : cell of the daemon's own availability zone; it is tried first
+    scheduling : the scheduling decisions that are switched on
     """
 
-    def __init__(self, home_cell, limits: CellLimits):
+    def __init__(
+        self,
+        home_cell,
+        limits: CellLimits,
+        scheduling: SchedulingSettings | None = None,
+    ):
         self.home_cell = home_cell
         self.limits = limits
+        self.scheduling = scheduling or SchedulingSettings()
         self.jobs: dict[str, OpenJob] = {}
         self.cells: dict[str, CellView] = {}
         # Names of the upstreams of each cell, with the time at which an owner of the
--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -50,6 +50,7 @@
 from carobramp_core.cells.resumed_offers import replace_resumed_offers
 from carobramp_core.cells.upstreams import Run, RunPhase, Upstream
 from carobramp_core.run_time_estimator import RunTimeEstimator
+from carobramp_schema.generated.scheduling import SchedulingSettings
 
 DEFAULT_RUN_MS = 200.0
 # Run numbers that one fencing token provides; runs of a later owner always have higher
@@ -85,6 +86,7 @@
         taken_over=True,
         losses: Iterable[UpstreamLoss] = (),
         predecessor_heard_at=-math.inf,
+        scheduling: SchedulingSettings | None = None,
     ):
         self.cell = cell
         self.token = token
@@ -92,6 +94,7 @@
         self.owned_since = now
         self.taken_over = taken_over
         self.predecessor_heard_at = predecessor_heard_at
+        self.scheduling = scheduling or SchedulingSettings()
         self.start_count = 0
         self.upstreams: dict[str, Upstream] = {}
         # Whether the list of upstreams has been read.
--- a/packages/daemon/carobramp_daemon/cells/coordinator.py
+++ b/packages/daemon/carobramp_daemon/cells/coordinator.py
@@ -408,7 +408,14 @@
         """Start the owner service of a cell and link the entry of this daemon to it."""
         losses = self.entry_service.entry.crash_records.all_losses()
         owner = CellOwner(
-            state.name, token, self.limits, now(), taken_over, losses, owner_heard_at
+            state.name,
+            token,
+            self.limits,
+            now(),
+            taken_over,
+            losses,
+            owner_heard_at,
+            self.entry_service.entry.scheduling,
         )
         service = OwnerService(
             owner,
