Let a ticket set the state of availability zones

An operator could not say in the product's own interface that a zone is to get no new work. A ticket now sets ZoneState (evacuated) of zones by name, based_on and all, like services, upstreams and teams. The field is absent from tickets and state documents without zones, so that their digests stay and earlier versions read them. Evacuating a zone in which no upstream is known is refused with the known zones; ending an evacuation never is.

--- a/packages/core/carobramp_core/tickets/checks.py
+++ b/packages/core/carobramp_core/tickets/checks.py
@@ -4,11 +4,11 @@
 import functools
 import ipaddress
 
-from carobramp_core.tickets.state import OBJECT_KINDS, DeploymentState
+from carobramp_core.tickets.state import OBJECT_KINDS, DeploymentState, changes_of
 from carobramp_schema import InvalidInput
 from carobramp_schema.generated.ticket import ServiceState, Ticket, UpstreamState
 
-MAX_OBJECTS = {"services": 256, "upstreams": 4096, "teams": 1024}
+MAX_OBJECTS = {"services": 256, "upstreams": 4096, "teams": 1024, "zones": 64}
 """Maximum number of objects in a state, equal to the limits in its schema."""
 
 MAX_RESERVED_PERCENT = 90
@@ -34,7 +34,7 @@
 ) -> InvalidTicket | BaseOutdated | None:
     """Return the first fault of `ticket` as successor of `state`, None if valid."""
     for kind in OBJECT_KINDS:
-        fault = check_changes(kind, getattr(ticket, kind), state)
+        fault = check_changes(kind, changes_of(ticket, kind), state)
         if fault is not None:
             return fault
     return check_resulting_state(ticket, state.apply(ticket))
@@ -123,7 +123,26 @@
         count = len(getattr(state_after, kind))
         if count > limit:
             return invalid_ticket(f"$.{kind}", f"at most {limit} in force", str(count))
-    return check_removed_services(ticket, state_after)
+    fault = check_evacuated_zones(ticket, state_after)
+    return fault or check_removed_services(ticket, state_after)
+
+
+def check_evacuated_zones(ticket, state_after):
+    """Check that each zone that the ticket evacuates has an upstream.
+
+    The end of an evacuation is valid without, so that it is always possible.
+    """
+    if not any(
+        change.state and change.state.evacuated for change in ticket.zones or ()
+    ):
+        return None
+    known = {v.state.availability_zone for v in state_after.upstreams.values()}
+    for index, change in enumerate(ticket.zones):
+        if change.state and change.state.evacuated and change.name not in known:
+            names = ", ".join(sorted(known)) or "none"
+            expected = f"an availability zone with upstreams ({names})"
+            return invalid_ticket(f"$.zones[{index}].name", expected, change.name)
+    return None
 
 
 def check_removed_services(ticket, state_after):
--- a/packages/core/carobramp_core/tickets/state.py
+++ b/packages/core/carobramp_core/tickets/state.py
@@ -16,14 +16,19 @@
     Ticket,
     UpstreamObject,
     UpstreamState,
+    ZoneObject,
 )
 
-OBJECT_KINDS = ("services", "upstreams", "teams")
+OBJECT_KINDS = ("services", "upstreams", "teams", "zones")
 OBJECT_TYPES = {
     "services": ServiceObject,
     "upstreams": UpstreamObject,
     "teams": TeamObject,
+    "zones": ZoneObject,
 }
+# Tickets and documents without objects of these kinds do not have the field, so that
+# their digests are those of earlier versions, which refuse an unknown field.
+OPTIONAL_KINDS = frozenset({"zones"})
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,6 +64,7 @@
     services: Mapping[str, VersionedObject] = dataclasses.field(default_factory=dict)
     upstreams: Mapping[str, VersionedObject] = dataclasses.field(default_factory=dict)
     teams: Mapping[str, VersionedObject] = dataclasses.field(default_factory=dict)
+    zones: Mapping[str, VersionedObject] = dataclasses.field(default_factory=dict)
 
     def service(self, name) -> ServiceState | None:
         """Return the state of a service, or None."""
@@ -72,6 +78,14 @@
         """Return the state of a team, or None."""
         return _state_of(self.teams, name)
 
+    def evacuated_zones(self) -> dict[str, int]:
+        """Return the evacuated availability zones, each with the ticket that set it."""
+        return {
+            name: versioned.number
+            for name, versioned in sorted(self.zones.items())
+            if versioned.state.evacuated
+        }
+
     def apply(self, ticket: Ticket) -> "DeploymentState":
         """Return the state after `ticket`; raise ValueError unless it is the next."""
         if ticket.number != self.number + 1:
@@ -106,6 +120,7 @@
             for name, versioned in sorted(getattr(state, kind).items())
         ]
         for kind in OBJECT_KINDS
+        if getattr(state, kind) or kind not in OPTIONAL_KINDS
     }
     return canonical(StateDocument(number=state.number, **lists))
 
@@ -120,7 +135,7 @@
             entry.name: VersionedObject.create(
                 kind, entry.name, entry.number, entry.state
             )
-            for entry in getattr(document, kind)
+            for entry in getattr(document, kind) or ()
         }
         for kind in OBJECT_KINDS
     }
@@ -130,6 +145,11 @@
     return state
 
 
+def changes_of(ticket: Ticket, kind):
+    """Return the changes of one kind of object in a ticket."""
+    return getattr(ticket, kind) or ()
+
+
 def content_digest(ticket: Ticket) -> str:
     """Return the SHA-256 digest of a ticket's content, hexadecimal."""
     return hashlib.sha256(canonical(ticket)).hexdigest()
@@ -141,7 +161,7 @@
 
 
 def _apply_changes(kind, objects, ticket):
-    changes = getattr(ticket, kind)
+    changes = changes_of(ticket, kind)
     if not changes:
         return objects
     result = dict(objects)
