Start no task in evacuated availability zones

A ticket could evacuate a zone without effect. The dispatcher now marks the upstreams of evacuated zones when a state comes into force: they get no new task, active runs go on, and waiting tasks start in other zones. A job that fits nowhere ends at once with the new reason evacuated: refused if certainly no task has started, failed otherwise. A service whose remaining upstreams are leaving anyway keeps the reason no_upstream.

--- a/packages/core/carobramp_core/dispatch/admission.py
+++ b/packages/core/carobramp_core/dispatch/admission.py
@@ -45,8 +45,8 @@
     """Refuse a job that does not fit the queue or cannot meet its deadline."""
     pool = job.pool
     if not any(may_take_tasks(upstream) for upstream in pool.members()):
-        detail = f"service {pool.name} has no upstream that takes tasks"
-        return JobRefused(Reason.NO_UPSTREAM, detail, MIN_RETRY_AFTER_S)
+        reason, detail = why_no_tasks(pool)
+        return JobRefused(reason, detail, MIN_RETRY_AFTER_S)
     wait = expected_wait_s(job, now)
     if pool.queue.waiting_tasks() + len(job.waiting) > pool.state.queue_limit:
         detail = f"over {pool.state.queue_limit} tasks would wait"
@@ -71,8 +71,34 @@
 
 def may_take_tasks(upstream):
     """Whether an upstream takes tasks, if need be after a guard or back-off ends."""
-    leaving = upstream.leaving_listed or upstream.leaving_reported
-    return not (upstream.state.leaving or leaving)
+    return not (upstream.evacuated or upstream.leaving())
+
+
+def why_no_tasks(pool) -> tuple[Reason, str]:
+    """Return the reason and detail for a service without upstreams that take tasks.
+
+    It is `EVACUATED` only if an upstream would take tasks but for an evacuation.
+    """
+    evacuated_zones = {
+        upstream.state.availability_zone
+        for upstream in pool.members()
+        if upstream.evacuated and not upstream.leaving()
+    }
+    if not evacuated_zones:
+        return (
+            Reason.NO_UPSTREAM,
+            f"service {pool.name} has no upstream that takes tasks",
+        )
+    zones = ", ".join(sorted(evacuated_zones))
+    detail = f"all upstreams of service {pool.name} are evacuated, in {zones}"
+    return Reason.EVACUATED, detail
+
+
+def is_evacuated(pool) -> bool:
+    """Whether no upstream of a service takes tasks, one of them for an evacuation."""
+    if any(may_take_tasks(upstream) for upstream in pool.members()):
+        return False
+    return why_no_tasks(pool)[0] == Reason.EVACUATED
 
 
 def expected_wait_s(job: JobState, now):
--- a/packages/core/carobramp_core/dispatch/deployment.py
+++ b/packages/core/carobramp_core/dispatch/deployment.py
@@ -4,6 +4,7 @@
 of leaving upstreams.
 """
 
+from carobramp_core.dispatch.admission import MIN_RETRY_AFTER_S, why_no_tasks
 from carobramp_core.dispatch.pool import ServicePool
 from carobramp_core.dispatch.upstreams import Upstream
 from carobramp_core.outcomes import JobRefused, Reason
@@ -24,6 +25,7 @@
         if previous.upstreams.get(name) is not versioned:
             set_upstream(name, versioned.state, dispatcher)
     attach_upstreams(dispatcher)
+    set_evacuated_zones(state, dispatcher)
     set_zone_vms(dispatcher, dispatcher.zone_vms)
     apply_teams(state, dispatcher)
     end_jobs_of_removed_services(state, dispatcher, now, effects)
@@ -79,6 +81,13 @@
             pool.group(upstream).members[name] = upstream
 
 
+def set_evacuated_zones(state, dispatcher):
+    """Mark the upstreams of evacuated zones, whose running tasks finish."""
+    zones = state.evacuated_zones()
+    for upstream in dispatcher.upstreams.values():
+        upstream.evacuated = upstream.state.availability_zone in zones
+
+
 def set_zone_vms(dispatcher, zone_vms):
     """Set the number of live VMs of the zone and each upstream's equal slot share."""
     dispatcher.zone_vms = max(1, zone_vms)
@@ -111,6 +120,21 @@
         dispatcher.unblock_team(usage)
 
 
+def end_jobs_of_evacuated_service(pool, dispatcher, now, effects):
+    """Refuse or fail the jobs with waiting tasks of a service without other zones.
+
+    Jobs whose tasks have all started go on.
+    """
+    jobs = [j for j in dispatcher.jobs.values() if j.pool is pool and j.waiting]
+    for job in jobs:
+        reason, detail = why_no_tasks(pool)
+        if job.not_run():
+            refused = JobRefused(reason, detail, MIN_RETRY_AFTER_S)
+            dispatcher.finish(job, refused, now, effects)
+        else:
+            dispatcher.fail(job, reason, detail, now, effects)
+
+
 def end_jobs_of_removed_services(state, dispatcher, now, effects):
     """Refuse or fail the jobs with waiting tasks of services that were removed."""
     affected_jobs = [
--- a/packages/core/carobramp_core/dispatch/engine.py
+++ b/packages/core/carobramp_core/dispatch/engine.py
@@ -15,7 +15,7 @@
 import random
 
 from carobramp_core.dispatch import deployment, results
-from carobramp_core.dispatch.admission import check_load, check_request
+from carobramp_core.dispatch.admission import check_load, check_request, is_evacuated
 from carobramp_core.dispatch.jobs import JobState, new_job_state
 from carobramp_core.dispatch.messages import (
     CancelTask,
@@ -139,6 +139,7 @@
         groups = [pool.local, pool.remote] if remote_due else [pool.local]
         pool.measure_start_rate(now, elapsed)
         pool.normalize_speeds()
+        pool.evacuated = is_evacuated(pool)
         for group in groups:
             for upstream in group.members.values():
                 upstream.update_slowdown(now)
@@ -164,7 +165,12 @@
                 self.start_tasks(pool, now, effects)
 
     def start_tasks(self, pool: ServicePool, now, effects):
-        """Start waiting tasks of one service until no class finds an upstream."""
+        """Start waiting tasks of one service until no class finds an upstream.
+
+        If all its upstreams are evacuated, jobs with waiting tasks end at once.
+        """
+        if pool.evacuated and pool.queue.waiting_tasks():
+            deployment.end_jobs_of_evacuated_service(pool, self, now, effects)
         blocked: set[str] = set()
         pool.saturated = False
         while True:
--- a/packages/core/carobramp_core/dispatch/pool.py
+++ b/packages/core/carobramp_core/dispatch/pool.py
@@ -217,6 +217,7 @@
     Attributes
     ==========
 
+    evacuated : whether all upstreams were evacuated at the last refresh
     saturated : whether a class without a reserve last found no upstream for a task
     start_rate : measured work in ms per ms that was started while saturated
     """
@@ -232,6 +233,7 @@
         self.refreshed_at = -math.inf
         self.remote_refreshed_at = -math.inf
         self.round_robin_index = 0
+        self.evacuated = False
         self.saturated = False
         self.was_saturated = False
         self.started_work_ms = 0.0
--- a/packages/core/carobramp_core/dispatch/upstreams.py
+++ b/packages/core/carobramp_core/dispatch/upstreams.py
@@ -1,4 +1,4 @@
-"""What this VM knows of an upstream: load, speed, back-off and leaving."""
+"""What this VM knows of an upstream: load, speed, back-off, leaving, evacuation."""
 
 import dataclasses
 import math
@@ -79,6 +79,7 @@
     log_speed : logarithm of the measured speed
     leaving_listed : whether the membership list names the upstream as leaving
     leaving_reported : whether an answer of the upstream reported that it is leaving
+    evacuated : whether the availability zone of the upstream is evacuated
     slowdown : factor by which a straggler lowers the expected speed
     version : version of the valid entries in the heaps of the group
     """
@@ -88,7 +89,7 @@
         "other_vm_tasks_at", "reported_slots", "reported_at", "log_speed_hint",
         "log_speed", "speed_samples", "speed_measured_at", "leaving_listed",
         "leaving_reported", "removed", "backoff_until", "connect_backoff_s",
-        "reject_backoff_s", "slowdown", "finished_at", "version",
+        "reject_backoff_s", "slowdown", "finished_at", "version", "evacuated",
     )  # fmt: skip
 
     def __init__(self, name, state: UpstreamState, local):
@@ -104,6 +105,7 @@
         self.speed_samples = 1
         self.speed_measured_at = -math.inf
         self.leaving_listed = False
+        self.evacuated = False
         self.removed = False
         self.backoff_until = -math.inf
         self.connect_backoff_s = 0.0
@@ -137,12 +139,14 @@
 
     def usable(self, now):
         """Whether the upstream may get tasks, regardless of free slots."""
-        if self.removed or self.state.leaving:
-            return False
-        if self.leaving_listed or self.leaving_reported:
+        if self.removed or self.evacuated or self.leaving():
             return False
         return now >= self.backoff_until and self.guard.state(now) != GuardState.OPEN
 
+    def leaving(self):
+        """Whether a ticket, the membership list or the upstream says it is leaving."""
+        return self.state.leaving or self.leaving_listed or self.leaving_reported
+
     def limited_to_one_task(self, now, service_counts):
         """Whether only one task at a time is sent: as a probe or after failures."""
         if self.connect_backoff_s or self.reject_backoff_s:
--- a/packages/core/carobramp_core/outcomes.py
+++ b/packages/core/carobramp_core/outcomes.py
@@ -16,6 +16,7 @@
     QUEUE_FULL = "queue_full"
     DEADLINE_UNMEETABLE = "deadline_unmeetable"
     NO_UPSTREAM = "no_upstream"
+    EVACUATED = "evacuated"
     DRAINING = "draining"
     NOT_READY = "not_ready"
     SUBMISSION_CONFLICT = "submission_conflict"
