Show evacuated zones in the status and in the log

Operators could not see which zones are evacuated. /v1/status and carobramp status list them with the ticket that set them, and each VM logs when the set changes.

Ran: carobramp_testing.runner test_evacuated_zones, 1 passed; test_ticket_service, 6 passed.

--- a/packages/cli/carobramp_cli/commands.py
+++ b/packages/cli/carobramp_cli/commands.py
@@ -26,6 +26,7 @@
 ANSWER_MARGIN_S = 5.0
 TICKET_COLUMNS = ("number", "author", "accepted_at_ms", "note")
 PEER_COLUMNS = ("vm", "availability_zone", "live", "leaving", "state_number")
+EVACUATED_ZONE_COLUMNS = ("evacuated_zone", "set_by")
 SERVICE_COLUMNS = ("name", "policy", "waiting")
 UPSTREAM_COLUMNS = (
     "name",
@@ -125,8 +126,13 @@
 def render_status(body):
     """Format the status of an entry VM."""
     plain = {k: v for k, v in body.items() if not isinstance(v, list)}
+    evacuated_zones = [
+        {"evacuated_zone": row["name"], "set_by": row["set_by"]}
+        for row in body.get("evacuated_zones", [])
+    ]
     parts = [
         pairs(plain),
+        table(evacuated_zones, EVACUATED_ZONE_COLUMNS),
         table(body.get("peers", []), PEER_COLUMNS),
         table(body.get("services", []), SERVICE_COLUMNS),
         table(body.get("upstreams", []), UPSTREAM_COLUMNS),
--- a/packages/cli/carobramp_cli/tests/test_commands.py
+++ b/packages/cli/carobramp_cli/tests/test_commands.py
@@ -5,7 +5,13 @@
 
 from carobramp_cli.output import Exit
 from carobramp_schema import encode
-from carobramp_schema.generated.ticket import TeamChange, TeamState, Ticket
+from carobramp_schema.generated.ticket import (
+    TeamChange,
+    TeamState,
+    Ticket,
+    ZoneChange,
+    ZoneState,
+)
 from carobramp_testing.builders import job_request
 from carobramp_testing.commands import carobramp, write_file
 from carobramp_testing.processes import Deployment
@@ -85,6 +91,27 @@
         self.assertEqual(tickets.stdout.split()[:2], ["number", "author"])
         self.assertIn("operator", tickets.stdout)
 
+    async def test_evacuated_zones(self):
+        """Guards against a status without an evacuation, or with one that ended."""
+        url = f"--url={self.deployment.url(VM)}"
+        heading = "evacuated_zone  set_by\n"
+        for number, state, lines in (
+            (2, ZoneState(evacuated=True), "tilburg         2\n"),
+            (3, None, "\n"),
+        ):
+            zones = [ZoneChange("tilburg", 2 if state is None else 0, state)]
+            path = self.file("zone.json", Ticket(number, "anna", zones=zones))
+            await self.run_command(Exit.DONE, "ticket", "put", path)
+            status = await carobramp(url, "status")
+            self.assertIn(heading + lines, status.stdout)
+        typo = Ticket(4, "anna", zones=[ZoneChange("tilbrug", 0, ZoneState(True))])
+        problem, line = await self.run_command(
+            Exit.REFUSED, "ticket", "put", self.file("typo.json", typo)
+        )
+        self.assertEqual(problem["field"], "$.zones[0].name")
+        self.assertIn("(tilburg)", problem["expected"])
+        self.assertEqual(problem["seen"], "tilbrug")
+
     async def test_cancel_of_an_unknown_job(self):
         """Guards against status 0 where there was nothing to cancel."""
         url = f"--url={self.deployment.url(VM)}"
--- a/packages/daemon/carobramp_daemon/operator.py
+++ b/packages/daemon/carobramp_daemon/operator.py
@@ -76,6 +76,7 @@
             "jobs": self.job_count(),
         }
         lists = {
+            "evacuated_zones": self.evacuated_zones(),
             "peers": self.peers(now),
             "services": self.services(),
             "upstreams": self.upstreams(now),
@@ -99,6 +100,11 @@
         rows = [peer_row(member, member.name in live) for member in members]
         return sorted(rows, key=lambda row: row["vm"])
 
+    def evacuated_zones(self):
+        """Return a row for each evacuated zone, with the ticket that set its state."""
+        zones = self.tickets.current_state.evacuated_zones()
+        return [{"name": name, "set_by": number} for name, number in zones.items()]
+
     def services(self):
         """Return a row for each service, with its waiting tasks at this VM."""
         waiting = {
--- a/packages/daemon/carobramp_daemon/tickets.py
+++ b/packages/daemon/carobramp_daemon/tickets.py
@@ -320,8 +320,17 @@
             raise ValueError(
                 f"state {state.number} is older than {self.current_state.number}"
             )
+        previous_zones = set(self.current_state.evacuated_zones())
+        evacuated_zones = set(state.evacuated_zones())
         self.current_state = state
         self.digest = state.digest()
+        if evacuated_zones != previous_zones:
+            self.event_log.info(
+                "evacuated zones changed",
+                number=state.number,
+                begun=sorted(evacuated_zones - previous_zones),
+                ended=sorted(previous_zones - evacuated_zones),
+            )
         if record is None:
             self.recent_records.clear()
         else:
