--- a/packages/testing/carobramp_testing/builders/tickets.py
+++ b/packages/testing/carobramp_testing/builders/tickets.py
@@ -9,6 +9,8 @@
     Ticket,
     UpstreamChange,
     UpstreamState,
+    ZoneChange,
+    ZoneState,
 )
 
 QUOTA_SLOTS = 1000
@@ -44,3 +46,15 @@
         upstreams=changes,
         teams=[TeamChange(name, 0, TeamState(QUOTA_SLOTS)) for name in TEAMS],
     )
+
+
+def evacuation_ticket(number, begun=(), ended=(), set_by=None):
+    """Build a ticket that evacuates zones and ends the evacuation of others.
+
+    `set_by` gives the number of the ticket that last set each zone, if one did.
+    """
+    set_by = set_by or {}
+    evacuated = ZoneState(evacuated=True)
+    changes = [ZoneChange(zone, set_by.get(zone, 0), evacuated) for zone in begun]
+    changes += [ZoneChange(zone, set_by[zone], None) for zone in ended]
+    return Ticket(number, "operator", zones=changes)
