Spread the return of rejected callers over the time in which capacity comes

Callers who were rejected together were told the same time and came back together. With spread_returns, the owner lays the work of rejected jobs into a schedule that advances with the usable cores of its cell, and tells each caller the time at which its place is reached, at least the estimated wait. The line 'owner: tasks returned' has the time as retry_after_s.

--- a/packages/core/carobramp_core/cells/admission.py
+++ b/packages/core/carobramp_core/cells/admission.py
@@ -98,6 +98,8 @@
     job_id, entry = tasks[0].job.job_id, tasks[0].entry
     indexes = tuple(task.index for task in tasks)
     retry_after_s = max(RETRY_AFTER_MIN_S, delay_s)
+    if reason == ReturnReason.OVERLOADED and owner.scheduling.spread_returns:
+        retry_after_s = spread_return_s(owner, tasks[0], retry_after_s, now)
     effects.append(
         SendToEntry(entry, TasksReturned(job_id, indexes, reason, retry_after_s))
     )
@@ -107,6 +109,20 @@
             "tasks": len(indexes),
             "reason": reason,
             "delay_s": round(delay_s, 3),
+            "retry_after_s": round(retry_after_s, 3),
             "waiting": len(owner.waiting),
         }
         effects.append(LogEvent("tasks returned", fields))
+
+
+def spread_return_s(owner, task, wait_s, now):
+    """Return the time until the caller of a rejected job should return, in seconds.
+
+    `task` is one of the equal tasks of the job, `wait_s` the least result.
+    """
+    usable_cpu = sum(u.record.cpu for u in owner.upstreams.values() if u.is_usable(now))
+    job = task.job
+    work_core_s = task.core_s() * job.tasks
+    return owner.return_times.reject(
+        job.job_id, work_core_s, usable_cpu / 1000, wait_s, now
+    )
--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -48,6 +48,7 @@
     urgency_key,
 )
 from carobramp_core.cells.resumed_offers import replace_resumed_offers
+from carobramp_core.cells.return_times import ReturnTimes
 from carobramp_core.cells.upstreams import Run, RunPhase, Upstream
 from carobramp_core.run_time_estimator import RunTimeEstimator
 from carobramp_schema.generated.scheduling import SchedulingSettings
@@ -118,6 +119,7 @@
         # Estimators by queue.
         self.run_time_estimators: dict[str, RunTimeEstimator] = {}
         self.ownership_lost = False
+        self.return_times = ReturnTimes()
         self.crash_records = CrashRecords()
         self.crash_records.record(losses, now)
 
