Name the list of zones in tickets availability_zones

A full run showed that test_bad_input has a ticket with the unknown list "zones", which must be refused; the new field had taken that name. The field is now named like availability_zone elsewhere, and the test stays as it was. It gets malformed zones in addition, and the bound of the list has a test.

--- a/packages/cli/carobramp_cli/tests/test_commands.py
+++ b/packages/cli/carobramp_cli/tests/test_commands.py
@@ -100,15 +100,19 @@
             (3, None, "\n"),
         ):
             zones = [ZoneChange("tilburg", 2 if state is None else 0, state)]
-            path = self.file("zone.json", Ticket(number, "anna", zones=zones))
+            path = self.file(
+                "zone.json", Ticket(number, "anna", availability_zones=zones)
+            )
             await self.run_command(Exit.DONE, "ticket", "put", path)
             status = await carobramp(url, "status")
             self.assertIn(heading + lines, status.stdout)
-        typo = Ticket(4, "anna", zones=[ZoneChange("tilbrug", 0, ZoneState(True))])
+        typo = Ticket(
+            4, "anna", availability_zones=[ZoneChange("tilbrug", 0, ZoneState(True))]
+        )
         problem, line = await self.run_command(
             Exit.REFUSED, "ticket", "put", self.file("typo.json", typo)
         )
-        self.assertEqual(problem["field"], "$.zones[0].name")
+        self.assertEqual(problem["field"], "$.availability_zones[0].name")
         self.assertIn("(tilburg)", problem["expected"])
         self.assertEqual(problem["seen"], "tilbrug")
 
--- a/packages/core/carobramp_core/dispatch/tests/test_evacuation.py
+++ b/packages/core/carobramp_core/dispatch/tests/test_evacuation.py
@@ -28,9 +28,9 @@
     def set_zone(self, state, zone=ZONE):
         """Put a ticket into force that sets the state of a zone."""
         number = self.driver.state.number + 1
-        last = self.driver.state.zones.get(zone)
+        last = self.driver.state.availability_zones.get(zone)
         change = ZoneChange(zone, last.number if last else 0, state)
-        self.driver.apply_ticket(Ticket(number, "anna", zones=[change]))
+        self.driver.apply_ticket(Ticket(number, "anna", availability_zones=[change]))
 
     def evacuate(self, zone=ZONE):
         """Put a ticket into force that evacuates a zone."""
--- a/packages/core/carobramp_core/tickets/checks.py
+++ b/packages/core/carobramp_core/tickets/checks.py
@@ -8,7 +8,12 @@
 from carobramp_schema import InvalidInput
 from carobramp_schema.generated.ticket import ServiceState, Ticket, UpstreamState
 
-MAX_OBJECTS = {"services": 256, "upstreams": 4096, "teams": 1024, "zones": 64}
+MAX_OBJECTS = {
+    "services": 256,
+    "upstreams": 4096,
+    "teams": 1024,
+    "availability_zones": 64,
+}
 """Maximum number of objects in a state, equal to the limits in its schema."""
 
 MAX_RESERVED_PERCENT = 90
@@ -133,15 +138,18 @@
     The end of an evacuation is valid without, so that it is always possible.
     """
     if not any(
-        change.state and change.state.evacuated for change in ticket.zones or ()
+        change.state and change.state.evacuated
+        for change in ticket.availability_zones or ()
     ):
         return None
     known = {v.state.availability_zone for v in state_after.upstreams.values()}
-    for index, change in enumerate(ticket.zones):
+    for index, change in enumerate(ticket.availability_zones):
         if change.state and change.state.evacuated and change.name not in known:
             names = ", ".join(sorted(known)) or "none"
             expected = f"an availability zone with upstreams ({names})"
-            return invalid_ticket(f"$.zones[{index}].name", expected, change.name)
+            return invalid_ticket(
+                f"$.availability_zones[{index}].name", expected, change.name
+            )
     return None
 
 
--- a/packages/core/carobramp_core/tickets/state.py
+++ b/packages/core/carobramp_core/tickets/state.py
@@ -19,16 +19,16 @@
     ZoneObject,
 )
 
-OBJECT_KINDS = ("services", "upstreams", "teams", "zones")
+OBJECT_KINDS = ("services", "upstreams", "teams", "availability_zones")
 OBJECT_TYPES = {
     "services": ServiceObject,
     "upstreams": UpstreamObject,
     "teams": TeamObject,
-    "zones": ZoneObject,
+    "availability_zones": ZoneObject,
 }
 # Tickets and documents without objects of these kinds do not have the field, so that
 # their digests are those of earlier versions, which refuse an unknown field.
-OPTIONAL_KINDS = frozenset({"zones"})
+OPTIONAL_KINDS = frozenset({"availability_zones"})
 
 
 @dataclasses.dataclass(frozen=True)
@@ -64,7 +64,9 @@
     services: Mapping[str, VersionedObject] = dataclasses.field(default_factory=dict)
     upstreams: Mapping[str, VersionedObject] = dataclasses.field(default_factory=dict)
     teams: Mapping[str, VersionedObject] = dataclasses.field(default_factory=dict)
-    zones: Mapping[str, VersionedObject] = dataclasses.field(default_factory=dict)
+    availability_zones: Mapping[str, VersionedObject] = dataclasses.field(
+        default_factory=dict
+    )
 
     def service(self, name) -> ServiceState | None:
         """Return the state of a service, or None."""
@@ -82,7 +84,7 @@
         """Return the evacuated availability zones, each with the ticket that set it."""
         return {
             name: versioned.number
-            for name, versioned in sorted(self.zones.items())
+            for name, versioned in sorted(self.availability_zones.items())
             if versioned.state.evacuated
         }
 
--- a/packages/core/carobramp_core/tickets/tests/test_checks.py
+++ b/packages/core/carobramp_core/tickets/tests/test_checks.py
@@ -120,31 +120,39 @@
     def test_evacuation_of_unknown_zone(self):
         """Guards against an evacuation that a misspelt name leaves without effect."""
         change = ZoneChange("tilbrug", 0, ZoneState(evacuated=True))
-        self.assert_invalid("$.zones[0].name", zones=[change])
-        fault = validate_ticket(Ticket(2, "anna", zones=[change]), base_state())
+        self.assert_invalid("$.availability_zones[0].name", availability_zones=[change])
+        fault = validate_ticket(
+            Ticket(2, "anna", availability_zones=[change]), base_state()
+        )
         expected = "an availability zone with upstreams (tilburg)"
         self.assertEqual(fault.fault.expected, expected)
         self.assertEqual(fault.fault.seen, "tilbrug")
 
     def test_evacuation_based_on_older_ticket(self):
         """Guards against ending an evacuation that another operator requested."""
-        first = Ticket(2, "anna", zones=[ZoneChange("tilburg", 0, ZoneState(True))])
+        first = Ticket(
+            2, "anna", availability_zones=[ZoneChange("tilburg", 0, ZoneState(True))]
+        )
         state = base_state().apply(first)
-        outdated = Ticket(3, "ben", zones=[ZoneChange("tilburg", 0, None)])
+        outdated = Ticket(3, "ben", availability_zones=[ZoneChange("tilburg", 0, None)])
         fault = validate_ticket(outdated, state)
         self.assertIsInstance(fault, BaseOutdated)
-        self.assertEqual(fault.fault.field, "$.zones[0].based_on")
+        self.assertEqual(fault.fault.field, "$.availability_zones[0].based_on")
 
     def test_end_of_evacuation_without_upstreams(self):
         """Guards against an evacuation that can not be ended in an empty zone."""
-        first = Ticket(2, "anna", zones=[ZoneChange("tilburg", 0, ZoneState(True))])
+        first = Ticket(
+            2, "anna", availability_zones=[ZoneChange("tilburg", 0, ZoneState(True))]
+        )
         state = base_state().apply(first)
         state = state.apply(
             Ticket(3, "anna", upstreams=[UpstreamChange("up", 1, None)])
         )
         for new_state in (None, ZoneState(evacuated=False)):
             change = ZoneChange("tilburg", 2, new_state)
-            self.assertIsNone(validate_ticket(Ticket(4, "a", zones=[change]), state))
+            self.assertIsNone(
+                validate_ticket(Ticket(4, "a", availability_zones=[change]), state)
+            )
 
     def test_unprintable_name(self):
         """Guards against names that break log lines."""
--- a/packages/core/carobramp_core/tickets/tests/test_state.py
+++ b/packages/core/carobramp_core/tickets/tests/test_state.py
@@ -36,27 +36,35 @@
         self.assertEqual(content_digest(ticket), CONTENT_DIGEST)
         state = DeploymentState().apply(ticket)
         self.assertEqual(state.digest(), STATE_DIGEST)
-        self.assertNotIn(b"zones", encode(ticket) + encode_state(state))
+        self.assertNotIn(b"availability_zones", encode(ticket) + encode_state(state))
 
     def test_document_keeps_evacuations(self):
         """Guards against a VM that starts from a snapshot without the evacuation."""
         change = ZoneChange("tilburg", 0, ZoneState(evacuated=True))
-        state = DeploymentState().apply(Ticket(1, "anna", zones=[change]))
+        state = DeploymentState().apply(Ticket(1, "anna", availability_zones=[change]))
         decoded = decode_state(encode_state(state), state.digest())
         self.assertEqual(decoded.evacuated_zones(), {"tilburg": 1})
 
     def test_ticket_without_zones_keeps_evacuations(self):
         """Guards against an unrelated ticket that ends an evacuation."""
         change = ZoneChange("tilburg", 0, ZoneState(evacuated=True))
-        state = DeploymentState().apply(Ticket(1, "anna", zones=[change]))
+        state = DeploymentState().apply(Ticket(1, "anna", availability_zones=[change]))
         state = state.apply(Ticket(2, "ben", teams=[TEAM]))
         self.assertEqual(state.evacuated_zones(), {"tilburg": 1})
-        ended = Ticket(3, "anna", zones=[ZoneChange("tilburg", 1, None)])
+        ended = Ticket(3, "anna", availability_zones=[ZoneChange("tilburg", 1, None)])
         self.assertEqual(state.apply(ended).evacuated_zones(), {})
 
     def test_unknown_field_of_a_zone(self):
         """Guards against faults in an optional field without a useful message."""
-        data = b'{"number":1,"author":"a","zones":[{"name":"t","based":0}]}'
+        data = (
+            b'{"number":1,"author":"a","availability_zones":[{"name":"t","based":0}]}'
+        )
         fault = decode(data, Ticket)
-        self.assertEqual(fault.field, "$.zones[0].based")
+        self.assertEqual(fault.field, "$.availability_zones[0].based")
         self.assertIn("`based_on`", fault.expected)
+
+    def test_too_many_zones(self):
+        """Guards against a ticket of unbounded size."""
+        changes = [ZoneChange(f"zone-{n}", 0, ZoneState(True)) for n in range(65)]
+        fault = decode(encode(Ticket(1, "a", availability_zones=changes)), Ticket)
+        self.assertEqual(fault.field, "$.availability_zones")
--- a/packages/testing/carobramp_testing/builders/tickets.py
+++ b/packages/testing/carobramp_testing/builders/tickets.py
@@ -57,4 +57,4 @@
     evacuated = ZoneState(evacuated=True)
     changes = [ZoneChange(zone, set_by.get(zone, 0), evacuated) for zone in begun]
     changes += [ZoneChange(zone, set_by[zone], None) for zone in ended]
-    return Ticket(number, "operator", zones=changes)
+    return Ticket(number, "operator", availability_zones=changes)
--- a/packages/testing/carobramp_testing/tests/test_bad_input.py
+++ b/packages/testing/carobramp_testing/tests/test_bad_input.py
@@ -132,6 +132,7 @@
     async def test_tickets(self):
         """Guards against malformed tickets that are accepted or stop the VM."""
         good = {"number": 2, "author": "anna"}
+        text_state = {"name": "tilburg", "based_on": 0, "state": {"evacuated": "yes"}}
         bodies = {
             "empty": b"",
             "list": [],
@@ -148,6 +149,9 @@
             | {"teams": [{"name": "a", "based_on": 0, "state": 3}]},
             "quota of zero": good
             | {"teams": [{"name": "a", "based_on": 0, "state": {"quota_slots": 0}}]},
+            "zone without a name": good
+            | {"availability_zones": [{"name": "", "based_on": 0, "state": None}]},
+            "zone evacuated by text": good | {"availability_zones": [text_state]},
         }
         for name, body in bodies.items():
             data = body if isinstance(body, bytes) else encode(body)
