--- a/packages/core/carobramp_core/tickets/checks.py
+++ b/packages/core/carobramp_core/tickets/checks.py
@@ -16,6 +16,9 @@
 }
 """Maximum number of objects in a state, equal to the limits in its schema."""
 
+MAX_ZONES_SHOWN = 20
+"""Maximum number of known zones that a fault lists; bounds its size."""
+
 MAX_RESERVED_PERCENT = 90
 """Maximum sum over the classes of a service; leaves every class some slots."""
 
@@ -137,19 +140,20 @@
 
     The end of an evacuation is valid without, so that it is always possible.
     """
-    if not any(
-        change.state and change.state.evacuated
-        for change in ticket.availability_zones or ()
-    ):
+    evacuated = {
+        index: change.name
+        for index, change in enumerate(changes_of(ticket, "availability_zones"))
+        if change.state is not None and change.state.evacuated
+    }
+    if not evacuated:
         return None
     known = {v.state.availability_zone for v in state_after.upstreams.values()}
-    for index, change in enumerate(ticket.availability_zones):
-        if change.state and change.state.evacuated and change.name not in known:
-            names = ", ".join(sorted(known)) or "none"
+    for index, name in evacuated.items():
+        if name not in known:
+            names = ", ".join(sorted(known)[:MAX_ZONES_SHOWN]) or "none"
             expected = f"an availability zone with upstreams ({names})"
-            return invalid_ticket(
-                f"$.availability_zones[{index}].name", expected, change.name
-            )
+            path = f"$.availability_zones[{index}].name"
+            return invalid_ticket(path, expected, name)
     return None
 
 
