--- a/packages/core/carobramp_core/tickets/checks.py
+++ b/packages/core/carobramp_core/tickets/checks.py
@@ -4,13 +4,21 @@
 import functools
 import ipaddress
 
-from carobramp_core.tickets.state import OBJECT_KINDS, DeploymentState
+from carobramp_core.tickets.state import OBJECT_KINDS, DeploymentState, changes_of
 from carobramp_schema import InvalidInput
 from carobramp_schema.generated.ticket import ServiceState, Ticket, UpstreamState
 
-MAX_OBJECTS = {"services": 256, "upstreams": 4096, "teams": 1024}
+MAX_OBJECTS = {
+    "services": 256,
+    "upstreams": 4096,
+    "teams": 1024,
+    "availability_zones": 64,
+}
 """Maximum number of objects in a state, equal to the limits in its schema."""
 
+MAX_ZONES_SHOWN = 20
+"""Maximum number of known zones that a fault lists; bounds its size."""
+
 MAX_RESERVED_PERCENT = 90
 """Maximum sum over the classes of a service; leaves every class some slots."""
 
@@ -34,7 +42,7 @@
 ) -> InvalidTicket | BaseOutdated | None:
     """Return the first fault of `ticket` as successor of `state`, None if valid."""
     for kind in OBJECT_KINDS:
-        fault = check_changes(kind, getattr(ticket, kind), state)
+        fault = check_changes(kind, changes_of(ticket, kind), state)
         if fault is not None:
             return fault
     return check_resulting_state(ticket, state.apply(ticket))
@@ -123,7 +131,30 @@
         count = len(getattr(state_after, kind))
         if count > limit:
             return invalid_ticket(f"$.{kind}", f"at most {limit} in force", str(count))
-    return check_removed_services(ticket, state_after)
+    fault = check_evacuated_zones(ticket, state_after)
+    return fault or check_removed_services(ticket, state_after)
+
+
+def check_evacuated_zones(ticket, state_after):
+    """Check that each zone that the ticket evacuates has an upstream.
+
+    The end of an evacuation is valid without, so that it is always possible.
+    """
+    evacuated = {
+        index: change.name
+        for index, change in enumerate(changes_of(ticket, "availability_zones"))
+        if change.state is not None and change.state.evacuated
+    }
+    if not evacuated:
+        return None
+    known = {v.state.availability_zone for v in state_after.upstreams.values()}
+    for index, name in evacuated.items():
+        if name not in known:
+            names = ", ".join(sorted(known)[:MAX_ZONES_SHOWN]) or "none"
+            expected = f"an availability zone with upstreams ({names})"
+            path = f"$.availability_zones[{index}].name"
+            return invalid_ticket(path, expected, name)
+    return None
 
 
 def check_removed_services(ticket, state_after):
