Start nothing in an evacuated zone at the owner of a cell

Cause: an operator needs to take a zone out of use; nothing may start there until the request is withdrawn.

Change: Evacuations holds the evacuated zones as of a store version; of two sets the one with the higher version is right. The owner of a cell learns them from its process or from an entry. place_tasks is the only place where runs start, and returns the waiting tasks of an evacuated cell, also those that were queued again. An owner whose process has not read the requests starts nothing. After the end, upstreams probe and learn their speed anew. A probing upstream got several runs in one pass of place_tasks, because the candidates were listed before the pass; it now gets one.

--- a/packages/core/carobramp_core/cells/admission.py
+++ b/packages/core/carobramp_core/cells/admission.py
@@ -1,5 +1,6 @@
 """Which offered tasks an owner queues, and which it returns to their entries."""
 
+from carobramp_core.cells.evacuation import is_evacuated
 from carobramp_core.cells.losses import record_placement_losses
 from carobramp_core.cells.messages import (
     Offer,
@@ -55,6 +56,8 @@
 
     None as well while the list of upstreams has not been read.
     """
+    if is_evacuated(owner.cell, owner.evacuations):
+        return ReturnReason.EVACUATED
     if not owner.upstreams_listed:
         return None
     return unsuitable_reason(job, owner.upstreams_by_service.get(job.service, ()))
--- a/packages/core/carobramp_core/cells/event_handlers.py
+++ b/packages/core/carobramp_core/cells/event_handlers.py
@@ -7,6 +7,8 @@
 import functools
 
 from carobramp_core.cells.admission import return_tasks, return_unsuitable_tasks
+from carobramp_core.cells.cell_evacuation import apply_evacuations
+from carobramp_core.cells.evacuation import Evacuations, EvacuationsRead
 from carobramp_core.cells.losses import (
     log_lost_runs,
     record_answer,
@@ -92,6 +94,16 @@
     owner.cancel_job(message.job_id, now, effects)
 
 
+@on_message.register
+def _(message: Evacuations, entry, owner, now, effects):
+    apply_evacuations(owner, message, entry, effects)
+
+
+@on_event.register
+def _(event: EvacuationsRead, owner, now, effects):
+    apply_evacuations(owner, event.evacuations, "store", effects)
+
+
 @on_event.register
 def _(event: EntryLinksClosed, owner, now, effects):
     for link in event.links:
--- a/packages/core/carobramp_core/cells/messages.py
+++ b/packages/core/carobramp_core/cells/messages.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from carobramp_core.cells.evacuation import Evacuations
+
 # Multiple of the objective after which a result is useless to the caller.
 LATE_FACTOR = 3.0
 
@@ -55,6 +57,8 @@
 class ReturnReason(enum.StrEnum):
     """Why an owner returned tasks; none of them is running.
 
+    EVACUATED: the zone of the cell is evacuated.
+
     Two reasons hold even if the cell is idle. NO_SERVICE: no upstream of the service
     takes new tasks. TOO_LARGE: none of them is large enough for one task.
 
@@ -69,6 +73,7 @@
     TOO_LARGE = "too_large"
     SUPERSEDED = "superseded"
     UPSTREAM_LOST = "upstream_lost"
+    EVACUATED = "evacuated"
 
 
 class TaskResult(enum.StrEnum):
@@ -213,7 +218,8 @@
 
     `free_cpu` and `total_cpu` are in thousandths of a core; `waiting_s` is the
     expected work of the waiting tasks in core-seconds; `token` is the owner's
-    fencing token.
+    fencing token. While the zone is `evacuated`, `free_cpu` is 0; the owner knows that
+    as of the store version `evacuations_version`.
     """
 
     cell: str
@@ -221,6 +227,8 @@
     free_cpu: int
     total_cpu: int
     waiting_s: float
+    evacuated: bool = False
+    evacuations_version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -237,7 +245,7 @@
     losses: tuple[UpstreamLoss, ...]
 
 
-ToOwner = Offer | CancelJob | CancelRequest
+ToOwner = Offer | CancelJob | CancelRequest | Evacuations
 ToEntry = (
     JobCancelled
     | TasksReturned
@@ -265,6 +273,7 @@
     DRAINING = "draining"
     MALFORMED = "malformed"
     UNSUPPORTED = "unsupported"
+    EVACUATED = "evacuated"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/carobramp_core/cells/orders.py
+++ b/packages/core/carobramp_core/cells/orders.py
@@ -11,6 +11,7 @@
 import dataclasses
 import enum
 
+from carobramp_core.cells.evacuation import EvacuationsRead
 from carobramp_core.cells.messages import ToEntry, ToOwner, UpstreamLosses
 
 
@@ -291,6 +292,7 @@
     | StartAnswered
     | StopAnswered
     | OwnerTick
+    | EvacuationsRead
 )
 OwnerEffect = (
     StartOrder
--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -14,7 +14,13 @@
 from collections.abc import Iterable
 
 from carobramp_core.cells.admission import admit_tasks
+from carobramp_core.cells.cell_evacuation import return_evacuated_tasks
 from carobramp_core.cells.crash_records import CrashRecords
+from carobramp_core.cells.evacuation import (
+    NO_EVACUATIONS,
+    Evacuations,
+    is_evacuated,
+)
 from carobramp_core.cells.event_handlers import on_event
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import (
@@ -75,6 +81,8 @@
     losses : losses of upstreams that the daemon of this owner knows
     predecessor_heard_at : latest time at which a daemon heard the earlier owner, with
         which entries may have been lost; minus infinity if no daemon has heard it
+    evacuations : evacuated zones; None while the process has not read the requests,
+        and then nothing starts
     """
 
     def __init__(
@@ -87,6 +95,7 @@
         losses: Iterable[UpstreamLoss] = (),
         predecessor_heard_at=-math.inf,
         scheduling: SchedulingSettings | None = None,
+        evacuations: Evacuations | None = NO_EVACUATIONS,
     ):
         self.cell = cell
         self.token = token
@@ -95,6 +104,7 @@
         self.taken_over = taken_over
         self.predecessor_heard_at = predecessor_heard_at
         self.scheduling = scheduling or SchedulingSettings()
+        self.evacuations = evacuations
         self.start_count = 0
         self.upstreams: dict[str, Upstream] = {}
         # Whether the list of upstreams has been read.
@@ -188,8 +198,15 @@
             self.run_time_estimators[queue] = RunTimeEstimator(DEFAULT_RUN_MS)
         return self.run_time_estimators[queue]
 
+    def may_start(self) -> bool:
+        """Return whether runs may start: the zone is known not to be evacuated."""
+        if self.evacuations is None:
+            return False
+        return not is_evacuated(self.cell, self.evacuations)
+
     def start_task(self, task: WaitingTask, upstream: Upstream, now, effects) -> RunId:
         """Order an upstream to start a task and return the id of the new run."""
+        assert self.may_start(), "nothing starts in an evacuated zone"
         self.start_count += 1
         number = self.token * RUNS_PER_TOKEN + self.start_count % RUNS_PER_TOKEN
         run_id = RunId(task.job.job_id, task.index, number)
@@ -310,9 +327,16 @@
         return task
 
     def place_tasks(self, now, effects):
-        """Start waiting tasks, the most urgent first."""
+        """Start waiting tasks, the most urgent first.
+
+        Every start passes here. In an evacuated zone the tasks are returned instead.
+        """
         if not self.waiting or self.ownership_lost:
             return
+        if not self.may_start():
+            if is_evacuated(self.cell, self.evacuations):
+                return_evacuated_tasks(self, now, effects)
+            return
         candidates_by_service = self.upstreams_with_free_cpu(now)
         if not any(candidates_by_service.values()):
             return
@@ -343,6 +367,11 @@
                 still_waiting.append(task)
                 continue
             run_id = self.start_task(task, upstream, now, effects)
+            if upstream.probing:
+                # One run at a time: the list was made before this start.
+                candidates_by_service[service] = [
+                    u for u in candidates_by_service[service] if u is not upstream
+                ]
             if alone:
                 upstream.isolated_runs.add(run_id)
             started.setdefault((task.entry, task.job.job_id), []).append(
@@ -518,6 +547,16 @@
     def capacity_report(self, now) -> CapacityReport:
         """Return the message that reports the cell's capacity to an entry."""
         free = sum(u.free_cpu(now) for u in self.upstreams.values())
+        evacuated = is_evacuated(self.cell, self.evacuations)
+        version = self.evacuations.version if self.evacuations else 0
         total = sum(u.record.cpu for u in self.upstreams.values() if u.is_usable(now))
         work_core_s = sum(task.core_s() for task in self.waiting)
-        return CapacityReport(self.cell, self.token, free, total, work_core_s)
+        return CapacityReport(
+            self.cell,
+            self.token,
+            free if self.may_start() else 0,
+            total,
+            work_core_s,
+            evacuated,
+            version,
+        )
--- a/packages/core/carobramp_core/cells/upstreams.py
+++ b/packages/core/carobramp_core/cells/upstreams.py
@@ -144,7 +144,8 @@
         self.speed_samples = 0
         self.failed_jobs: set[str] = set()
         self.quarantine_s = 0.0
-        # From a quarantine until the next success, only one run at a time starts.
+        # From a quarantine or the end of an evacuation until the next success, only
+        # one run at a time starts.
         self.probing = False
 
     @property
@@ -281,6 +282,13 @@
         self.relative_speed = math.exp(self.log_speed)
         self.speed_samples += 1
 
+    def expect_cold_start(self):
+        """Learn the speed anew, and probe: the upstream may be slow for a while."""
+        self.log_speed = 0.0
+        self.relative_speed = 1.0
+        self.speed_samples = 0
+        self.probing = True
+
     def record_success(self):
         """Record a run with a result; it ends probing and clears the failures."""
         self.failed_jobs.clear()
