Offer no tasks to evacuated cells

Cause: an entry offered tasks to a cell whose owner returns them all, and held a job that waits there.

Change: an evacuated cell is unsuitable; a job that then fits nowhere ends at once as evacuated, refused only if nothing can have started. The entry tells each owner the newest set when a link opens, before any offer, when the zones change, and when a report shows that the owner knows an older set that differs. Owners' reports tell an entry that the store rejects; of both sources the newer one is right.

Run: test_evacuation and test_entry (passed).

--- a/packages/core/carobramp_core/cells/entry.py
+++ b/packages/core/carobramp_core/cells/entry.py
@@ -15,6 +15,16 @@
 import math
 
 from carobramp_core.cells.crash_records import CrashRecords
+from carobramp_core.cells.entry_evacuation import (
+    apply_evacuations,
+    evacuated_cells,
+    record_report,
+)
+from carobramp_core.cells.evacuation import (
+    NO_EVACUATIONS,
+    Evacuations,
+    EvacuationsRead,
+)
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import (
     CancelJob,
@@ -37,20 +47,20 @@
     TasksReturned,
     TasksStarted,
     ToEntry,
-    ToOwner,
     UpstreamLosses,
     UpstreamNames,
 )
 from carobramp_core.cells.open_jobs import CellView, LostTasks, OpenJob
-from carobramp_core.cells.orders import LogEvent
+from carobramp_core.cells.orders import LogEvent, SendToOwner
 from carobramp_schema.generated.scheduling import SchedulingSettings
 
 RETRY_AFTER_S = 1.0
 MS_PER_S = 1000
-# Why no upstream of a cell could run a task, even if it were idle.
+# Why a cell could not run a task, even if it were idle.
 UNSUITABLE_REASONS = {
     ReturnReason.NO_SERVICE: NoResultReason.NO_SERVICE,
     ReturnReason.TOO_LARGE: NoResultReason.TOO_LARGE,
+    ReturnReason.EVACUATED: NoResultReason.EVACUATED,
 }
 # Reasons for which an owner ends a job whose runs may go on.
 INTERRUPTIONS = {
@@ -124,14 +134,6 @@
     answer_by: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendToOwner:
-    """Effect that sends a message to the owner of a cell."""
-
-    cell: str
-    message: ToOwner
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerCaller:
     """Effect that answers the caller of a job, once for each job.
@@ -155,6 +157,7 @@
     | EntryTick
     | LongPauseEnded
     | DrainStarted
+    | EvacuationsRead
 )
 EntryEffect = SendToOwner | AnswerCaller | LogEvent
 
@@ -167,6 +170,7 @@
 
     home_cell : cell of the daemon's own availability zone; it is tried first
     scheduling : the scheduling decisions that are switched on
+    evacuations : evacuated zones; None while the process has not read the requests
     """
 
     def __init__(
@@ -174,8 +178,10 @@
         home_cell,
         limits: CellLimits,
         scheduling: SchedulingSettings | None = None,
+        evacuations: Evacuations | None = NO_EVACUATIONS,
     ):
         self.home_cell = home_cell
+        self.evacuations = evacuations
         self.limits = limits
         self.scheduling = scheduling or SchedulingSettings()
         self.jobs: dict[str, OpenJob] = {}
@@ -233,20 +239,25 @@
         if not self.cells:
             open_job.unoffered_indexes.update(indexes)
             return
-        unsuitable = open_job.unsuitable_cells
+        unsuitable = open_job.unsuitable_cells | evacuated_cells(self)
         suitable = [name for name in self.cells if name not in unsuitable]
         if not suitable:
             fields = {"job_id": open_job.job.job_id, **unsuitable}
             effects.append(LogEvent("no cell can run the job", fields))
-            last_reason = next(reversed(unsuitable.values()))
-            self.refuse_job(open_job, last_reason, RETRY_AFTER_S, now, effects)
+            reason = next(reversed(unsuitable.values()))
+            if NoResultReason.EVACUATED in unsuitable.values():
+                reason = NoResultReason.EVACUATED
+            self.refuse_job(open_job, reason, RETRY_AFTER_S, now, effects)
             return
         untried = self.untried_cells(open_job)
         with_capacity = [
             name
             for name in untried
-            if name == self.home_cell
-            or self.cells[name].may_have_capacity(open_job.job)
+            if name in suitable
+            and (
+                name == self.home_cell
+                or self.cells[name].may_have_capacity(open_job.job)
+            )
         ]
         if with_capacity:
             self.send_offer(open_job, with_capacity[0], indexes, now, effects)
@@ -396,6 +407,9 @@
 @on_event.register
 def _(event: OwnerLinkOpened, entry: Entry, now, effects):
     entry.cells[event.cell] = CellView(event.token, reported_at=now)
+    if entry.evacuations is not None:
+        # Before the offers, as the owner may be rejected by the store.
+        effects.append(SendToOwner(event.cell, entry.evacuations))
     for open_job in list(entry.jobs.values()):
         open_job.unsuitable_cells.pop(event.cell, None)
         for lost in [item for item in open_job.lost_tasks if item.cell == event.cell]:
@@ -429,6 +443,11 @@
     effects.append(LogEvent("link to an owner closed", fields))
 
 
+@on_event.register
+def _(event: EvacuationsRead, entry: Entry, now, effects):
+    apply_evacuations(entry, event.evacuations, effects)
+
+
 @on_event.register
 def _(event: LongPauseEnded, entry: Entry, now, effects):
     entry.paused_until = now
@@ -486,6 +505,7 @@
         view.total_cpu = message.total_cpu
         view.waiting_s = message.waiting_s
         view.reported_at = now
+        record_report(entry, view, message, effects)
 
 
 @on_message.register
@@ -540,6 +560,8 @@
         reason = NoResultReason.OVERLOADED
         entry.refuse_job(open_job, reason, message.retry_after_s, now, effects)
         return
+    if message.reason == ReturnReason.EVACUATED and cell in entry.cells:
+        entry.cells[cell].evacuated = True
     if message.reason in UNSUITABLE_REASONS:
         open_job.unsuitable_cells[cell] = UNSUITABLE_REASONS[message.reason]
     open_job.tried_cells.add(cell)
--- a/packages/core/carobramp_core/cells/open_jobs.py
+++ b/packages/core/carobramp_core/cells/open_jobs.py
@@ -75,13 +75,18 @@
 
 @dataclasses.dataclass(slots=True)
 class CellView:
-    """What an entry knows of a cell to whose owner it has a link."""
+    """What an entry knows of a cell to whose owner it has a link.
+
+    The owner has said whether the zone is `evacuated`, as of a store version.
+    """
 
     token: int
     free_cpu: int = 0
     total_cpu: int = 0
     waiting_s: float = 0.0
     reported_at: float = 0.0
+    evacuated: bool = False
+    evacuations_version: int = 0
 
     def may_have_capacity(self, job: Job):
         """Return whether a task fits by the last report, or no report has come yet."""
--- a/packages/core/carobramp_core/cells/orders.py
+++ b/packages/core/carobramp_core/cells/orders.py
@@ -261,6 +261,14 @@
     message: ToEntry
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendToOwner:
+    """Effect of an entry that sends a message to the owner of a cell."""
+
+    cell: str
+    message: ToOwner
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SendToAllEntries:
     """Effect that sends a message to every entry with a link to the owner."""
--- a/packages/core/carobramp_core/cells/tests/test_evacuation.py
+++ b/packages/core/carobramp_core/cells/tests/test_evacuation.py
@@ -2,9 +2,18 @@
 
 import unittest
 
+from carobramp_core.cells.entry import JobReceived, OwnerLinkOpened
 from carobramp_core.cells.evacuation import Evacuations, EvacuationsRead
-from carobramp_core.cells.messages import ReturnReason, TasksReturned, TasksStarted
-from carobramp_core.cells.orders import EntryMessageReceived, RunEndKind
+from carobramp_core.cells.messages import (
+    CapacityReport,
+    Interrupted,
+    NoResultReason,
+    Refused,
+    ReturnReason,
+    TasksReturned,
+    TasksStarted,
+)
+from carobramp_core.cells.orders import EntryMessageReceived, RunEndKind, SendToOwner
 from carobramp_core.cells.tests.support import (
     OwnerHarness,
     ended,
@@ -15,6 +24,7 @@
     stops,
     upstream,
 )
+from carobramp_core.cells.tests.test_entry import EntryCase, answers, offers
 
 JOB_ID = "5c0e7a21d94b36f8"
 NONE = frozenset()
@@ -160,5 +170,107 @@
         self.assertEqual(len(starts(effects)), 2)
 
 
+class EvacuatedEntryTests(EntryCase):
+    """An entry in tilburg with links to the owners of tilburg and breda."""
+
+    def read(self, version, *zones):
+        """Let the entry's process read the requests."""
+        return self.handle(EvacuationsRead(Evacuations(version, frozenset(zones))))
+
+    def report(self, cell, evacuated, version):
+        """Let an owner report that its cell is evacuated, or not."""
+        free = 0 if evacuated else 16000
+        return self.receive(
+            cell, CapacityReport(cell, 1, free, 16000, 0.0, evacuated, version)
+        )
+
+    def give_back(self, cell, *indexes):
+        """Let an owner return tasks as evacuated."""
+        return self.receive(
+            cell, TasksReturned(JOB_ID, indexes, ReturnReason.EVACUATED)
+        )
+
+    def test_evacuated_cell_gets_offers(self):
+        """Guards against offers to the home cell that come back."""
+        self.read(1, "tilburg")
+        self.assertEqual(self.submit().cell, "breda")
+
+    def test_job_waits_at_an_evacuated_cell(self):
+        """Guards against a job that waits where nothing starts, as the least loaded."""
+        self.read(1, "tilburg")
+        self.submit()
+        message = TasksReturned(JOB_ID, (0, 1), ReturnReason.NO_CAPACITY)
+        ((cell, offer),) = offers(self.receive("breda", message))
+        self.assertEqual((cell, offer.may_wait), ("breda", True))
+
+    def test_job_waits_while_all_zones_are_evacuated(self):
+        """Guards against a job that is held although nothing can run it."""
+        self.read(1, "tilburg", "breda")
+        (outcome,) = answers(self.handle(JobReceived(job(JOB_ID))))
+        self.assertEqual(outcome, Refused(NoResultReason.EVACUATED, 1.0))
+
+    def test_job_with_a_started_task_is_said_not_to_have_run(self):
+        """Guards against an untrue refusal when the other task comes back."""
+        self.submit()
+        self.receive("tilburg", TasksStarted(JOB_ID, (0,)))
+        self.read(1, "tilburg", "breda")
+        (outcome,) = answers(self.give_back("tilburg", 1))
+        self.assertEqual(outcome, Interrupted(NoResultReason.EVACUATED))
+
+    def test_returned_tasks_end_the_job(self):
+        """Guards against a job that is given up although another zone could run it."""
+        self.submit()
+        ((cell, offer),) = offers(self.give_back("tilburg", 0, 1))
+        self.assertEqual((cell, offer.indexes), ("breda", (0, 1)))
+        (outcome,) = answers(self.give_back("breda", 0, 1))
+        self.assertEqual(outcome, Refused(NoResultReason.EVACUATED, 1.0))
+
+    def test_owner_hears_nothing(self):
+        """Guards against an owner that the store rejects and that is not told.
+
+        It has to hear before the first offer on its link, and of every change.
+        """
+        known = Evacuations(3, frozenset({"breda"}))
+        sent = [SendToOwner(cell, known) for cell in ("breda", "tilburg")]
+        self.assertEqual([e for e in self.read(3, "breda") if e in sent], sent)
+        self.assertEqual(self.read(4, "breda"), [])
+        present = Evacuations(4, frozenset({"breda"}))
+        effects = self.handle(OwnerLinkOpened("breda", 2))
+        self.assertEqual(effects, [SendToOwner("breda", present)])
+
+    def test_owner_keeps_an_older_set(self):
+        """Guards against an owner that believes an entry that lags behind."""
+        self.read(5)
+        effects = self.report("breda", True, 4)
+        self.assertEqual(effects, [SendToOwner("breda", Evacuations(5, frozenset()))])
+        self.assertEqual(self.report("breda", True, 6), [])
+
+    def test_entry_that_the_store_rejects_makes_offers(self):
+        """Guards against offers that come back while the entry cannot read the store.
+
+        Of owner and store, the newer one is right, in both directions.
+        """
+        self.report("tilburg", True, 3)
+        self.assertEqual(self.submit().cell, "breda")
+        self.entry.jobs.clear()
+        self.read(4)
+        self.assertEqual(self.submit().cell, "tilburg")
+
+    def test_open_job_does_not_come_back(self):
+        """Guards against an open job that is refused after the end of an evacuation."""
+        self.submit()
+        self.give_back("tilburg", 0, 1)
+        self.report("tilburg", True, 3)
+        self.report("tilburg", False, 4)
+        ((cell, _),) = offers(self.give_back("breda", 0, 1))
+        self.assertEqual(cell, "tilburg")
+
+    def test_older_set_replaces_a_newer_one(self):
+        """Guards against a process that goes back to an earlier version."""
+        self.read(5, "tilburg")
+        self.read(4)
+        self.assertEqual(self.submit().cell, "breda")
+
+
 if __name__ == "__main__":
     unittest.main()
