Carry evacuated zones in frames between entries and owners

Cause: an owner that the store rejects has to hear of evacuations from an entry, and an entry that the store rejects from the owner.

Change: a frame body Evacuations; Room has the flag and the store version; Returned has a flag beside a reason that earlier versions know, since those close a link for an unknown reason.

--- a/packages/daemon/carobramp_daemon/cells/frames.py
+++ b/packages/daemon/carobramp_daemon/cells/frames.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from carobramp_core.cells.claims import Deputy
+from carobramp_core.cells.evacuation import Evacuations
 from carobramp_core.cells.messages import (
     CancelJob,
     CancelRequest,
@@ -84,10 +85,13 @@
 
 @encode.register
 def _(message: TasksReturned):
+    # An earlier version closes a link for a reason that it does not know.
+    evacuated = message.reason == ReturnReason.EVACUATED
     returned = pb.Returned(
         job_id=message.job_id,
         indexes=message.indexes,
-        reason=message.reason,
+        reason=ReturnReason.NO_SERVICE if evacuated else message.reason,
+        evacuated=evacuated,
         retry_after_s=message.retry_after_s,
     )
     return pb.Frame(returned=returned)
@@ -133,10 +137,18 @@
         free_cpu=message.free_cpu,
         total_cpu=message.total_cpu,
         waiting_s=message.waiting_s,
+        evacuated=message.evacuated,
+        evacuations_version=message.evacuations_version,
     )
     return pb.Frame(room=report)
 
 
+@encode.register
+def _(message: Evacuations):
+    evacuations = pb.Evacuations(version=message.version, zones=sorted(message.zones))
+    return pb.Frame(evacuations=evacuations)
+
+
 @encode.register
 def _(message: Deputy):
     deputy = pb.Deputy(
@@ -199,10 +211,11 @@
 
 def decode_tasks_returned(returned: pb.Returned) -> TasksReturned:
     """Return the message in a frame body; an unknown reason raises `ValueError`."""
+    reason = ReturnReason(returned.reason)
     return TasksReturned(
         returned.job_id,
         tuple(returned.indexes),
-        ReturnReason(returned.reason),
+        ReturnReason.EVACUATED if returned.evacuated else reason,
         returned.retry_after_s,
     )
 
@@ -223,7 +236,13 @@
 def decode_capacity_report(report: pb.Room) -> CapacityReport:
     """Return the report of an owner about the free capacity of its cell."""
     return CapacityReport(
-        report.cell, report.token, report.free_cpu, report.total_cpu, report.waiting_s
+        report.cell,
+        report.token,
+        report.free_cpu,
+        report.total_cpu,
+        report.waiting_s,
+        report.evacuated,
+        report.evacuations_version,
     )
 
 
@@ -265,6 +284,7 @@
     "task_ended": decode_task_ended,
     "room": decode_capacity_report,
     "deputy": decode_deputy,
+    "evacuations": lambda body: Evacuations(body.version, frozenset(body.zones)),
     "members": lambda members: UpstreamNames(tuple(members.names)),
     "upstream_losses": lambda body: UpstreamLosses(decode_losses(body.losses)),
 }
