Claim cells only after the evacuation requests were read

Cause: a daemon that took over a cell before it had read the requests could start nothing, or would have started tasks in an evacuated zone.

Change: the coordinator passes the requests to its owners and its entry. It claims a cell, at its own motion and by TakeCell, once they are known; a new owner starts with the newest set that the daemon knows.

--- a/packages/daemon/carobramp_daemon/cells/calls.py
+++ b/packages/daemon/carobramp_daemon/cells/calls.py
@@ -43,11 +43,7 @@
         coordinator = self.coordinator
         state = coordinator.cells.get(request.cell)
         taken = False
-        if (
-            state is not None
-            and not coordinator.draining
-            and coordinator.table.is_loaded()
-        ):
+        if state is not None and coordinator.may_claim():
             row, version = coordinator.rows.cell(request.cell)
             if row is not None and row.vm == request.vm:
                 state.known_upstreams = tuple(map(decode_upstream, request.upstreams))
--- a/packages/daemon/carobramp_daemon/cells/coordinator.py
+++ b/packages/daemon/carobramp_daemon/cells/coordinator.py
@@ -18,6 +18,7 @@
     should_claim,
     should_reclaim,
 )
+from carobramp_core.cells.evacuation import Evacuations, EvacuationsRead, newest
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.owner import CellOwner
 from carobramp_core.cells.ports import CoordinationTable, UpstreamList, UpstreamOrders
@@ -286,12 +287,31 @@
 
     # Claims
 
+    def update_evacuations(self, evacuations: Evacuations):
+        """Pass the evacuated zones as last read to the owners and the entry."""
+        for service in list(self.owned.values()):
+            service.dispatch(EvacuationsRead(evacuations))
+        self.entry_service.update_evacuations(evacuations)
+
+    def known_evacuations(self) -> Evacuations | None:
+        """Return the newest set that the entry or an owner of this daemon knows."""
+        owners = [service.owner.evacuations for service in self.owned.values()]
+        return newest(self.entry_service.entry.evacuations, *owners)
+
+    def may_claim(self) -> bool:
+        """Whether this daemon may claim cells: it has read the rows and the requests.
+
+        An owner that did not know the evacuated zones could start nothing.
+        """
+        known = self.entry_service.entry.evacuations is not None
+        return known and not self.draining and self.table.is_loaded()
+
     async def take_over_if_needed(self, state: CellState):
         """Take over a cell if its owner is lost or this daemon should reclaim it.
 
         Peers, upstreams and finally the silent owner itself are asked first.
         """
-        if self.draining or state.name in self.owned or not self.table.is_loaded():
+        if state.name in self.owned or not self.may_claim():
             return
         row, version = self.rows.cell(state.name)
         linked = state.owner_silent_since is None
@@ -416,6 +436,7 @@
             losses,
             owner_heard_at,
             self.entry_service.entry.scheduling,
+            self.known_evacuations(),
         )
         service = OwnerService(
             owner,
@@ -470,6 +491,8 @@
         self.cells[cell].owner_heard_at = self.cells[cell].owner_silent_since = now()
         self.cells[cell].deputy = service.deputy
         service.owner.ownership_lost = True
+        # What an entry has told this owner, the next owner of this daemon knows.
+        self.entry_service.update_evacuations(service.owner.evacuations)
         for link in service.local_links:
             link.open = False
         self.entry_service.owner_link_closed(cell, service.local_links[1], now())
--- a/packages/daemon/carobramp_daemon/cells/entry.py
+++ b/packages/daemon/carobramp_daemon/cells/entry.py
@@ -21,6 +21,7 @@
     OwnerMessageReceived,
     SendToOwner,
 )
+from carobramp_core.cells.evacuation import Evacuations, EvacuationsRead
 from carobramp_core.cells.messages import Interrupted, Job, NoResultReason, Outcome
 from carobramp_core.cells.orders import LogEvent
 from carobramp_core.cells.ports import Link
@@ -146,6 +147,19 @@
         Returns False if the entry failed to handle the event.
         """
         self.check_pause()
+        return self.handle(event)
+
+    def update_evacuations(self, evacuations: Evacuations | None):
+        """Pass on the evacuation requests that the process has read.
+
+        No pause is looked for: the process may be starting, and no job depends on it.
+        """
+        self.handle(EvacuationsRead(evacuations))
+        known = self.entry.evacuations
+        self.metrics.set_gauge("zones_evacuated", len(known.zones) if known else 0)
+
+    def handle(self, event: EntryEvent) -> bool:
+        """Pass an event to the entry and carry out the effects that it returns."""
         effects = None
         with contain_errors(self, type(event).__name__):
             effects = self.entry.handle(event, now())
--- a/packages/daemon/carobramp_daemon/metrics.py
+++ b/packages/daemon/carobramp_daemon/metrics.py
@@ -38,6 +38,7 @@
     "jobs_running": "Jobs under way.",
     "cells_linked": "Cells whose owner this daemon can reach.",
     "open_requests": "Jobs whose caller waits.",
+    "zones_evacuated": "Availability zones that are evacuated.",
     "live_peers": "Live entry VMs, without this one.",
 }
 # Labels that are exported with 0 before their first use, so that the rate of a counter
