--- a/packages/core/carobramp_core/cells/tests/test_evacuation.py
+++ b/packages/core/carobramp_core/cells/tests/test_evacuation.py
@@ -27,7 +27,7 @@
 from carobramp_core.cells.tests.test_entry import EntryCase, answers, offers
 
 JOB_ID = "5c0e7a21d94b36f8"
-NONE = frozenset()
+NONE: frozenset[str] = frozenset()
 OWN = frozenset({"tilburg"})
 
 
