Tell owners nothing where there are no evacuation requests

Cause: an entry without an operator's table sent the empty set when a link opened; test_losses expects one message, the resumed offer.

Change: an entry that knows no request from a store sends nothing.

--- a/packages/core/carobramp_core/cells/entry.py
+++ b/packages/core/carobramp_core/cells/entry.py
@@ -407,7 +407,7 @@
 @on_event.register
 def _(event: OwnerLinkOpened, entry: Entry, now, effects):
     entry.cells[event.cell] = CellView(event.token, reported_at=now)
-    if entry.evacuations is not None:
+    if entry.evacuations not in (None, NO_EVACUATIONS):
         # Before the offers, as the owner may be rejected by the store.
         effects.append(SendToOwner(event.cell, entry.evacuations))
     for open_job in list(entry.jobs.values()):
