Tell cold upstreams from those that probe after a quarantine

Cause: the change to placement also held back upstreams after a quarantine, outside of evacuations; and one failure on a cold upstream took it out of use.

Change: a flag of its own, cold, from the end of an evacuation until the next success. That a probing upstream may get several runs in one pass of place_tasks is as before.

--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -367,7 +367,7 @@
                 still_waiting.append(task)
                 continue
             run_id = self.start_task(task, upstream, now, effects)
-            if upstream.probing:
+            if upstream.cold:
                 # One run at a time: the list was made before this start.
                 candidates_by_service[service] = [
                     u for u in candidates_by_service[service] if u is not upstream
--- a/packages/core/carobramp_core/cells/upstreams.py
+++ b/packages/core/carobramp_core/cells/upstreams.py
@@ -144,9 +144,10 @@
         self.speed_samples = 0
         self.failed_jobs: set[str] = set()
         self.quarantine_s = 0.0
-        # From a quarantine or the end of an evacuation until the next success, only
-        # one run at a time starts.
+        # From a quarantine until the next success, only one run at a time starts.
         self.probing = False
+        # The same from the end of an evacuation, without a quarantine after a failure.
+        self.cold = False
 
     @property
     def name(self):
@@ -251,7 +252,7 @@
             and not self.orphaned_run_count
             and not self.isolated_runs
             and self.lease_limit() - now >= self.limits.start_lease_min_s
-            and not (self.probing and self.runs)
+            and not ((self.probing or self.cold) and self.runs)
         )
 
     def is_large_enough_for(self, job: Job) -> bool:
@@ -283,17 +284,18 @@
         self.speed_samples += 1
 
     def expect_cold_start(self):
-        """Learn the speed anew, and probe: the upstream may be slow for a while."""
+        """Learn the speed anew, one run at a time: the upstream may be slow."""
         self.log_speed = 0.0
         self.relative_speed = 1.0
         self.speed_samples = 0
-        self.probing = True
+        self.cold = True
 
     def record_success(self):
-        """Record a run with a result; it ends probing and clears the failures."""
+        """Record a run with a result; one run at a time is no longer needed."""
         self.failed_jobs.clear()
         self.quarantine_s = 0.0
         self.probing = False
+        self.cold = False
 
     def record_failure(self, job_id, now) -> bool:
         """Record a failed run of a job that failed on no other upstream.
