--- a/packages/core/carobramp_core/cells/orders.py
+++ b/packages/core/carobramp_core/cells/orders.py
@@ -11,6 +11,7 @@
 import dataclasses
 import enum
 
+from carobramp_core.cells.evacuation import EvacuationsRead
 from carobramp_core.cells.messages import ToEntry, ToOwner, UpstreamLosses
 
 
@@ -260,6 +261,14 @@
     message: ToEntry
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendToOwner:
+    """Effect of an entry that sends a message to the owner of a cell."""
+
+    cell: str
+    message: ToOwner
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SendToAllEntries:
     """Effect that sends a message to every entry with a link to the owner."""
@@ -291,6 +300,7 @@
     | StartAnswered
     | StopAnswered
     | OwnerTick
+    | EvacuationsRead
 )
 OwnerEffect = (
     StartOrder
