Let a forecast of room occupy the places of whole jobs

Cause: a job counts by its last task, and the forecast placed single tasks, on the slowest of the places that are free at one time.

--- a/packages/core/carobramp_core/cells/tests/test_room_forecast.py
+++ b/packages/core/carobramp_core/cells/tests/test_room_forecast.py
@@ -59,3 +59,13 @@
         """Guards against a finite wait where nothing can run the task."""
         forecast = forecast_room([], support.job(), NOW)
         self.assertEqual(forecast.take(0.1), float("inf"))
+
+    def test_slow_place_is_passed_over(self):
+        """Guards against a wide job whose last task is expected on a slow upstream."""
+        upstreams = [idle_upstream(f"i-{i}", cpu=8000) for i in range(2)]
+        upstreams[0].learn_speed(0.4)
+        forecast = forecast_room(upstreams, support.job(cpu=8000), NOW)
+        start_at, end_at = forecast.take_all(2, 0.1, NOW + 0.21)
+        self.assertAlmostEqual(start_at - NOW, 0.1)
+        self.assertAlmostEqual(end_at - NOW, 0.2)
+        self.assertEqual(forecast.take(0.1), NOW)
