Start the tasks of waiting jobs in the order of whole jobs

Cause: tasks were ordered singly, so that a job that could not be whole in time still took cores for those of its tasks that could. Change: job_order ranks jobs by their last task: started and in time, in time, late, hopeless; least slack first, priority between slacks within 5 ms. Active with job_admission. Ran: carobramp_testing.runner carobramp_core.cells and job_order: passed; with the setting off the placement test fails.

--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -16,6 +16,7 @@
 from carobramp_core.cells.admission import admit_tasks
 from carobramp_core.cells.crash_records import CrashRecords
 from carobramp_core.cells.event_handlers import on_event
+from carobramp_core.cells.job_order import rank_jobs
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import (
     CapacityReport,
@@ -260,6 +261,7 @@
                 run.job, run.run_id.index, run.entry, run.received_at, ()
             )
             task.stalled_runs = run.stalled_runs
+            task.started = True
             return
         ended = TaskEnded(run.run_id.job_id, run.run_id.index, result, run.upstream)
         effects.append(SendToEntry(run.entry, ended))
@@ -320,7 +322,7 @@
             service: functools.cache(functools.partial(self.top_speed, service, now))
             for service in candidates_by_service
         }
-        self.waiting.sort(key=lambda task: urgency_key(task, now))
+        self.sort_waiting(now)
         still_waiting, started = [], {}
         for position, task in enumerate(self.waiting):
             service = task.job.service
@@ -359,6 +361,14 @@
             effects.append(SendToEntry(entry, message))
             effects.append(self.placement_log_event(job_id, placed, now))
 
+    def sort_waiting(self, now):
+        """Sort the waiting tasks, the first to start first."""
+        if self.scheduling.job_admission:
+            jobs = rank_jobs(self.waiting, self.runs_by_job, self.upstreams, now)
+            self.waiting = [task for job in jobs for task in job.tasks]
+            return
+        self.waiting.sort(key=lambda task: urgency_key(task, now))
+
     def upstreams_with_free_cpu(self, now):
         """Return the upstreams that can take the smallest waiting task, by service.
 
