Give up waiting jobs as soon as their results would be useless

Cause: waiting tasks were held until three objectives were over although others were ahead of them for longer than that, and those of started jobs for ever. Change: with job_admission each tick forecasts the jobs that can only be late, and returns those that would end too late to be useful. A started job goes back as well, and its runs are stopped, if another job waits. Runs that are being stopped count as ending within the time that a stop takes.

--- a/packages/core/carobramp_core/cells/event_handlers.py
+++ b/packages/core/carobramp_core/cells/event_handlers.py
@@ -6,6 +6,7 @@
 
 import functools
 
+from carobramp_core.cells.abandonment import abandon_hopeless_jobs
 from carobramp_core.cells.admission import return_tasks, return_unsuitable_tasks
 from carobramp_core.cells.losses import (
     log_lost_runs,
@@ -517,12 +518,10 @@
 
 def remove_expired(owner, now, effects):
     """Return tasks that are too late to be useful; drop old results and idle jobs."""
-    useless: dict[str, list[WaitingTask]] = {}
-    for task in owner.waiting:
-        if ends_too_late(task, now) and task.job.job_id not in owner.runs_by_job:
-            useless.setdefault(task.job.job_id, []).append(task)
-    for tasks in useless.values():
-        return_tasks(owner, tasks, now, effects, ReturnReason.OVERLOADED)
+    if owner.scheduling.job_admission:
+        abandon_hopeless_jobs(owner, now, effects)
+    else:
+        return_late_tasks(owner, now, effects)
     active = {task.job.job_id for task in owner.waiting}
     active.update(offer.job.job_id for _, offer, _ in owner.resumed_offers)
     active.update(owner.runs_by_job)
@@ -531,3 +530,13 @@
     owner.cancelled_jobs = {k: v for k, v in owner.cancelled_jobs.items() if v > recent}
     oldest = now - RESULT_RETENTION_S
     owner.results = {k: v for k, v in owner.results.items() if v[2] > oldest}
+
+
+def return_late_tasks(owner, now, effects):
+    """Return the tasks of jobs without runs here that are too late to be useful."""
+    useless: dict[str, list[WaitingTask]] = {}
+    for task in owner.waiting:
+        if ends_too_late(task, now) and task.job.job_id not in owner.runs_by_job:
+            useless.setdefault(task.job.job_id, []).append(task)
+    for tasks in useless.values():
+        return_tasks(owner, tasks, now, effects, ReturnReason.OVERLOADED)
--- a/packages/core/carobramp_core/cells/room_forecast.py
+++ b/packages/core/carobramp_core/cells/room_forecast.py
@@ -14,8 +14,9 @@
 import math
 from collections.abc import Iterable
 
+from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import Job
-from carobramp_core.cells.upstreams import Run, Upstream
+from carobramp_core.cells.upstreams import Run, RunPhase, Upstream
 
 # Remaining time of a run that has lasted longer than expected, as a fraction of its
 # expected run time.
@@ -173,4 +174,8 @@
     """Return the time at which a run is expected to end, later than `now`."""
     expected_s = run.expected_s / speed
     end_at = run.started_at + expected_s
-    return end_at if end_at > now else now + OVERDUE_FRACTION * expected_s
+    if end_at <= now:
+        end_at = now + OVERDUE_FRACTION * expected_s
+    if run.phase == RunPhase.STOPPING:
+        return min(end_at, now + CellLimits.run_stop_s)
+    return end_at
--- a/packages/core/carobramp_core/cells/tests/load_support.py
+++ b/packages/core/carobramp_core/cells/tests/load_support.py
@@ -21,6 +21,7 @@
 from carobramp_schema.generated.scheduling import SchedulingSettings
 
 TICK_S = 0.05
+STOP_S = 0.04
 
 
 class LoadHarness(OwnerHarness):
@@ -56,20 +57,25 @@
             if isinstance(effect, StartOrder):
                 run_s = self.run_s[effect.run_id.job_id]
                 self.active[effect.upstream][effect.run_id] = (effect, self.now, run_s)
-                heapq.heappush(self.due, (self.now + run_s, effect.run_id.run, effect))
+                self.schedule_end(effect, run_s, RunEndKind.DONE)
                 job_id = effect.run_id.job_id
                 self.started_at.setdefault(job_id, []).append(self.now)
                 self.accept(effect)
             elif isinstance(effect, StopOrder):
                 self.stopped.append(effect.run_id)
                 self.accept_stop(effect)
-                self.end_run(effect.upstream, effect.run_id, RunEndKind.STOPPED)
+                self.schedule_end(effect, STOP_S, RunEndKind.STOPPED)
             elif isinstance(effect, SendToEntry):
                 self.record(effect.message)
             elif isinstance(effect, LogEvent):
                 self.logged.append(effect)
         return effects
 
+    def schedule_end(self, order, seconds, kind):
+        """Let a run end after some time, unless it has ended before."""
+        end = (self.now + seconds, order.run_id.run, order.upstream, order.run_id, kind)
+        heapq.heappush(self.due, end)
+
     def record(self, message):
         """Record what the owner tells an entry of a job."""
         if isinstance(message, TasksReturned):
@@ -78,7 +84,7 @@
         elif isinstance(message, TaskEnded) and message.result == TaskResult.DONE:
             self.ended_at.setdefault(message.job_id, []).append(self.now)
 
-    def end_run(self, name, run_id, kind=RunEndKind.DONE):
+    def end_run(self, name, run_id, kind):
         """Let an upstream list the end of a run, unless it is over."""
         order = self.active[name].pop(run_id, None)
         if order is None:
@@ -112,8 +118,7 @@
                 self.next_tick_at += TICK_S
                 self.handle(OwnerTick())
             elif self.due:
-                _, _, order = heapq.heappop(self.due)
-                self.end_run(order.upstream, order.run_id)
+                self.end_run(*heapq.heappop(self.due)[2:])
             else:
                 break
         self.now = until
