Keep a share of the admissions for each queue and size of job

Under overload a band below its share is favoured; one far above it admits no jobs that would wait. Abandoned jobs no longer count as admitted.

--- a/packages/core/carobramp_core/cells/abandonment.py
+++ b/packages/core/carobramp_core/cells/abandonment.py
@@ -65,6 +65,10 @@
     """
     job_id = job.tasks[0].job.job_id
     runs = len(owner.runs_by_job.get(job_id, ()))
+    band = job.tasks[0].band
+    if band is not None:
+        core_s = sum(task.core_s() for task in job.tasks)
+        owner.fair_share.record_abandoned(band, core_s, now)
     return_tasks(owner, job.tasks, now, effects, ReturnReason.OVERLOADED)
     if not runs:
         return
--- a/packages/core/carobramp_core/cells/admission.py
+++ b/packages/core/carobramp_core/cells/admission.py
@@ -60,9 +60,17 @@
 
     Those that may not wait start as far as they fit, unless other jobs wait.
     """
+    core_s = offer.job.tasks * tasks[0].core_s()
+    band = owner.fair_share.band(offer.job.queue, core_s)
+    favoured = owner.fair_share.is_favoured(band)
     for task in tasks:
         task.started = offer.committed or offer.job.job_id in owner.runs_by_job
-    admission = decide_admission(owner, offer, tasks, now)
+        task.band, task.favoured = band, favoured
+    yields = owner.fair_share.has_to_yield(band)
+    admission = decide_admission(owner, offer, tasks, now, yields)
+    if offer.may_wait or admission.decision == Decision.AT_ONCE:
+        core_s = len(tasks) * tasks[0].core_s()
+        owner.fair_share.record(band, core_s, not admission.rejected, now)
     waits = offer.may_wait and admission.decision != Decision.AT_ONCE
     fields = {
         "estimated_wait_ms": round(admission.wait_s * MS_PER_S),
--- a/packages/core/carobramp_core/cells/job_admission.py
+++ b/packages/core/carobramp_core/cells/job_admission.py
@@ -27,13 +27,14 @@
 
 
 class Decision(enum.StrEnum):
-    """What becomes of an offered job; the last three are rejections.
+    """What becomes of an offered job; those from NO_CAPACITY are rejections.
 
     AT_ONCE: all offered tasks can start. IN_PART: tasks that may not wait start as far
     as they fit. ON_TIME, LATE: admitted to wait. COMMITTED: waits as it has started.
     UNKNOWN: waits as no upstream is known to be usable. NO_CAPACITY: may not wait, and
     could start only in part beside waiting jobs. WOULD_BE_LATE, WOULD_DISPLACE: it or
-    an admitted job would miss its objective. HOPELESS: its result would be useless.
+    an admitted job would miss its objective. OVER_SHARE: its queue and size had more
+    than their share. HOPELESS: its result would be useless.
     """
 
     AT_ONCE = "at_once"
@@ -45,6 +46,7 @@
     NO_CAPACITY = "no_capacity"
     WOULD_BE_LATE = "would_be_late"
     WOULD_DISPLACE = "would_displace"
+    OVER_SHARE = "over_share"
     HOPELESS = "hopeless"
 
 
@@ -53,6 +55,7 @@
         Decision.NO_CAPACITY,
         Decision.WOULD_BE_LATE,
         Decision.WOULD_DISPLACE,
+        Decision.OVER_SHARE,
         Decision.HOPELESS,
     }
 )
@@ -81,8 +84,13 @@
         return self.decision in REJECTIONS
 
 
-def decide_admission(owner, offer: Offer, tasks: list[WaitingTask], now):
-    """Return the `JobAdmission` of offered `tasks`, which are in `owner.waiting`."""
+def decide_admission(
+    owner, offer: Offer, tasks: list[WaitingTask], now, yields=False
+) -> JobAdmission:
+    """Return the admission of offered `tasks`, which are in `owner.waiting`.
+
+    `yields` tells that the job must not wait, since its band has had its share.
+    """
     job = offer.job
     upstreams = owner.upstreams_by_service.get(job.service, ())
     startable = count_startable(upstreams, job, now, len(tasks))
@@ -104,7 +112,10 @@
     jobs = rank_jobs(others, owner.runs_by_job, owner.upstreams, now)
     runs = owner.runs_by_job.get(job.job_id, ())
     new = rank_job(own, runs, owner.upstreams, now)
-    return decide_by_forecast(new, jobs, forecast, offer.committed, startable, now)
+    admission = decide_by_forecast(new, jobs, forecast, offer.committed, startable, now)
+    if yields and admission.decision in (Decision.ON_TIME, Decision.LATE):
+        return dataclasses.replace(admission, decision=Decision.OVER_SHARE)
+    return admission
 
 
 def are_upstreams_known(owner, upstreams, now) -> bool:
--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -16,6 +16,7 @@
 from carobramp_core.cells.admission import admit_tasks
 from carobramp_core.cells.crash_records import CrashRecords
 from carobramp_core.cells.event_handlers import on_event
+from carobramp_core.cells.fair_share import FairShare
 from carobramp_core.cells.job_order import rank_jobs
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import (
@@ -118,6 +119,7 @@
         self.cancelled_jobs: dict[str, float] = {}
         # Estimators by queue.
         self.run_time_estimators: dict[str, RunTimeEstimator] = {}
+        self.fair_share = FairShare()
         self.ownership_lost = False
         self.crash_records = CrashRecords()
         self.crash_records.record(losses, now)
--- a/packages/core/carobramp_core/cells/placement.py
+++ b/packages/core/carobramp_core/cells/placement.py
@@ -38,7 +38,8 @@
     avoid : upstreams on which the task must not run
     stalled_runs : number of runs of the task that were stopped as stalled
     started : whether another task of the job may have run, or this one before
-    favoured : whether the job belongs to a band that gets less than its share
+    band : queue and size band that the job was admitted in, see `FairShare`
+    favoured : whether this band gets less than its share
     admitted_at, estimated_wait_s : when the job was admitted to wait, and the forecast
         of the time until its last task starts; None if it was not forecast
     """
@@ -51,6 +52,7 @@
     avoid: tuple[str, ...] = ()
     stalled_runs: int = 0
     started: bool = False
+    band: tuple | None = None
     favoured: bool = False
     admitted_at: float = 0.0
     estimated_wait_s: float | None = None
