Fill upstreams best while more tasks wait than can start

Cause: the fastest upstream got each task, so that small tasks took the gaps that wide ones need, and short tasks the fast upstreams. Change: best_fit chooses the upstream with the least cores left on which the task is in time, under scarcity only and with job_admission. Ran: carobramp_testing.runner carobramp_core.cells: passed; without the choice the test of the wide task fails.

--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterable
 
 from carobramp_core.cells.admission import admit_tasks
+from carobramp_core.cells.best_fit import choose_best_fit, services_in_scarcity
 from carobramp_core.cells.crash_records import CrashRecords
 from carobramp_core.cells.event_handlers import on_event
 from carobramp_core.cells.fair_share import FairShare
@@ -325,6 +326,9 @@
             for service in candidates_by_service
         }
         self.sort_waiting(now)
+        scarce = set()
+        if self.scheduling.job_admission:
+            scarce = services_in_scarcity(self.waiting, candidates_by_service)
         still_waiting, started = [], {}
         for position, task in enumerate(self.waiting):
             service = task.job.service
@@ -342,7 +346,8 @@
                     u for u in candidates if u is not reserved
                 ]
             else:
-                upstream = choose_upstream(task, candidates, top_speed, now)
+                choose = choose_best_fit if service in scarce else choose_upstream
+                upstream = choose(task, candidates, top_speed, now)
             if upstream is None:
                 still_waiting.append(task)
                 continue
