Log and count the decisions of owners on jobs

Cause: nobody could see why an owner rejected a job, or how far its forecast was off. Change: admissions that wait and rejections are logged with the expected wait, the tasks ahead and the startable tasks, and a start with the estimated and the actual wait. CountEvent carries counts to the metrics; job_admissions counts decisions. Tests of the failures between admission and start.

--- a/packages/core/carobramp_core/cells/abandonment.py
+++ b/packages/core/carobramp_core/cells/abandonment.py
@@ -13,7 +13,7 @@
 from carobramp_core.cells.job_admission import MAX_FORECAST_TASKS, place_job
 from carobramp_core.cells.job_order import JobGroup, WaitingJob, rank_jobs
 from carobramp_core.cells.messages import ReturnReason
-from carobramp_core.cells.orders import LogEvent
+from carobramp_core.cells.orders import CountEvent
 from carobramp_core.cells.room_forecast import forecast_room
 
 
@@ -69,10 +69,13 @@
     if band is not None:
         core_s = sum(task.core_s() for task in job.tasks)
         owner.fair_share.record_abandoned(band, core_s, now)
-    return_tasks(owner, job.tasks, now, effects, ReturnReason.OVERLOADED)
+    effects.append(CountEvent("job_admissions", "abandoned"))
+    log_fields = {"decision": "abandoned", "runs": runs}
+    return_tasks(
+        owner, job.tasks, now, effects, ReturnReason.OVERLOADED, 0.0, log_fields
+    )
     if not runs:
         return
     latest_end = now + owner.limits.lease_end_after_cancel_s()
     owner.limit_leases_of_job(job_id, latest_end)
     owner.release_job(job_id, now, effects)
-    effects.append(LogEvent("job abandoned", {"job_id": job_id, "runs": runs}))
--- a/packages/core/carobramp_core/cells/admission.py
+++ b/packages/core/carobramp_core/cells/admission.py
@@ -8,7 +8,7 @@
     TasksReturned,
     UpstreamLosses,
 )
-from carobramp_core.cells.orders import LogEvent, SendToEntry
+from carobramp_core.cells.orders import CountEvent, LogEvent, SendToEntry
 from carobramp_core.cells.placement import (
     WaitingTask,
     ends_too_late,
@@ -71,6 +71,7 @@
     if offer.may_wait or admission.decision == Decision.AT_ONCE:
         core_s = len(tasks) * tasks[0].core_s()
         owner.fair_share.record(band, core_s, not admission.rejected, now)
+    effects.append(CountEvent("job_admissions", admission.decision))
     waits = offer.may_wait and admission.decision != Decision.AT_ONCE
     fields = {
         "estimated_wait_ms": round(admission.wait_s * MS_PER_S),
@@ -82,6 +83,8 @@
         reason = ReturnReason.OVERLOADED if waits else ReturnReason.NO_CAPACITY
         return_tasks(owner, tasks, now, effects, reason, admission.wait_s, fields)
     elif waits:
+        for task in tasks:
+            task.admitted_at, task.estimated_wait_s = now, admission.wait_s
         fields |= {"job_id": offer.job.job_id, "tasks": len(tasks)}
         effects.append(LogEvent("job admitted", fields))
     else:
--- a/packages/core/carobramp_core/cells/orders.py
+++ b/packages/core/carobramp_core/cells/orders.py
@@ -282,6 +282,15 @@
     fields: dict
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CountEvent:
+    """Effect that adds `amount` to a counter of the metrics."""
+
+    counter: str
+    label: str
+    amount: int = 1
+
+
 OwnerEvent = (
     EntryMessageReceived
     | EntryLinksClosed
@@ -300,4 +309,5 @@
     | SendToAllEntries
     | OwnershipLost
     | LogEvent
+    | CountEvent
 )
--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -417,6 +417,10 @@
             "waiting": len(self.waiting),
             "token": self.token,
         }
+        is_last = all(task.job.job_id != job_id for task in self.waiting)
+        if first.estimated_wait_s is not None and is_last:
+            fields["estimated_wait_ms"] = round(first.estimated_wait_s * MS_PER_S)
+            fields["waited_ms"] = round((now - first.admitted_at) * MS_PER_S)
         return LogEvent("tasks started", fields)
 
     def handle_offer(self, entry, offer: Offer, now, effects):
--- a/packages/core/carobramp_core/cells/tests/load_support.py
+++ b/packages/core/carobramp_core/cells/tests/load_support.py
@@ -1,9 +1,11 @@
 """Harness that replays load on the owner of a cell, with runs that end when due."""
 
+import collections
 import heapq
 
 from carobramp_core.cells.messages import TaskEnded, TaskResult, TasksReturned
 from carobramp_core.cells.orders import (
+    CountEvent,
     LogEvent,
     OwnerTick,
     RunEndKind,
@@ -28,10 +30,11 @@
     """An owner whose upstreams hold two tasks of 16 cores each.
 
     `ended_at` holds the times at which tasks were done, `returned` the messages about
-    returned tasks, both by job id; `stopped` the ids of stopped runs.
+    returned tasks, both by job id; `stopped` the ids of stopped runs; `counts` the
+    decisions on jobs.
     """
 
-    def __init__(self, upstreams, **settings):
+    def __init__(self, upstreams, taken_over=False, **settings):
         self.names = [f"i-{number:02}" for number in range(upstreams)]
         self.due: list = []
         self.active = {name: {} for name in self.names}
@@ -42,10 +45,11 @@
         self.returned: dict[str, TasksReturned] = {}
         self.returned_at: dict[str, float] = {}
         self.logged: list[LogEvent] = []
+        self.counts: collections.Counter[str] = collections.Counter()
         self.stopped: list = []
         scheduling = SchedulingSettings(**({"job_admission": True} | settings))
         records = [upstream(name, cpu=32000) for name in self.names]
-        super().__init__(*records, scheduling=scheduling)
+        super().__init__(*records, taken_over=taken_over, scheduling=scheduling)
         for name in self.names:
             self.answer_poll(name)
         self.next_tick_at = self.now + TICK_S
@@ -69,6 +73,8 @@
                 self.record(effect.message)
             elif isinstance(effect, LogEvent):
                 self.logged.append(effect)
+            elif isinstance(effect, CountEvent):
+                self.counts[effect.label] += effect.amount
         return effects
 
     def schedule_end(self, order, seconds, kind):
@@ -105,6 +111,10 @@
         self.offer(item, **dict(offer_fields))
         return item
 
+    def lines(self, message):
+        """Return the fields of the log lines with a message."""
+        return [event.fields for event in self.logged if event.message == message]
+
     def advance(self, seconds):
         """Advance the time, with a tick every 50 ms."""
         until = self.now + seconds
--- a/packages/core/carobramp_core/cells/tests/test_job_admission.py
+++ b/packages/core/carobramp_core/cells/tests/test_job_admission.py
@@ -3,7 +3,9 @@
 import unittest
 
 from carobramp_core.cells.messages import ReturnReason
+from carobramp_core.cells.orders import EntriesPaused
 from carobramp_core.cells.tests.load_support import LoadHarness
+from carobramp_core.cells.tests.support import running
 
 
 class BurstTests(unittest.TestCase):
@@ -77,3 +79,89 @@
         harness.submit("wide", 0.1, 4, {"may_wait": False})
         self.assertNotIn("wide", harness.started_at)
         self.assertEqual(harness.returned["wide"].reason, ReturnReason.NO_CAPACITY)
+
+
+class LogTests(unittest.TestCase):
+    """What operators see of decisions."""
+
+    def test_wait_and_its_estimate_are_logged(self):
+        """Guards against a forecast whose error nobody can see."""
+        harness = LoadHarness(1)
+        harness.submit("running", 0.08, 2)
+        harness.submit("waiting", 0.1, 2)
+        (admitted,) = harness.lines("job admitted")
+        self.assertEqual(admitted["estimated_wait_ms"], 80)
+        self.assertEqual((admitted["tasks_ahead"], admitted["startable"]), (0, 0))
+        harness.advance(0.2)
+        started = harness.lines("tasks started")[-1]
+        self.assertEqual(started["estimated_wait_ms"], 80)
+        self.assertEqual(started["waited_ms"], 80)
+
+    def test_rejection_is_logged_and_counted(self):
+        """Guards against rejections without the reason and the expected wait."""
+        harness = LoadHarness(1)
+        harness.submit("running", 0.3, 2)
+        harness.submit("waiting", 0.3)
+        harness.submit("rejected", 0.05, 3)
+        (returned,) = harness.lines("tasks returned")
+        self.assertEqual(returned["decision"], "would_be_late")
+        self.assertEqual(returned["estimated_wait_ms"], 350)
+        self.assertEqual(returned["tasks_ahead"], 0)
+        self.assertEqual(harness.counts, {"at_once": 1, "late": 1, "would_be_late": 1})
+        self.assertAlmostEqual(harness.returned["rejected"].retry_after_s, 0.5)
+
+
+class HalfwayTests(unittest.TestCase):
+    """Failures between the admission of a job and its start."""
+
+    def test_owner_is_lost_after_the_admission(self):
+        """Guards against an admitted job that the next owner rejects or starts twice.
+
+        The entry offers all tasks as resumed and committed; one has been started.
+        """
+        first = LoadHarness(1)
+        first.submit("other", 0.1)
+        first.submit("admitted", 0.1, 2)
+        (run,) = first.owner.runs_by_job["admitted"]
+        order = first.active["i-00"][run.run_id][0]
+        second = LoadHarness(1, taken_over=True)
+        second.answer_poll("i-00", running=[running(order)])
+        fields = {"resumed": True, "committed": True, "members": ("i-00",)}
+        second.submit("admitted", 0.1, 2, fields)
+        self.assertNotIn("admitted", second.returned)
+        self.assertEqual(len(second.started_at["admitted"]), 1)
+        runs = second.owner.runs_by_job["admitted"]
+        self.assertEqual({item.run_id.index for item in runs}, {0, 1})
+
+    def test_entry_is_paused_after_the_admission(self):
+        """Guards against the start of a task whose entry has ended its job."""
+        harness = LoadHarness(1)
+        harness.submit("running", 0.08, 2)
+        harness.submit("admitted", 0.1)
+        harness.handle(EntriesPaused(("front-1",)))
+        harness.advance(0.5)
+        self.assertNotIn("admitted", harness.started_at)
+
+    def test_link_closes_after_a_rejection(self):
+        """Guards against a rejected job that starts after all."""
+        harness = LoadHarness(1)
+        harness.submit("running", 0.3, 2)
+        harness.submit("waiting", 0.3)
+        harness.submit("rejected", 0.05, 3)
+        self.assertIn("rejected", harness.returned)
+        harness.close_link("front-1")
+        harness.advance(1.0)
+        self.assertNotIn("rejected", harness.started_at)
+
+    def test_wrong_estimate_shifts_the_forecast(self):
+        """Guards against a place that counts as free while its run is overdue."""
+        harness = LoadHarness(1)
+        harness.submit("overdue", 3.0, 2, estimate_ms=100.0)
+        harness.advance(1.0)
+        harness.submit("next", 0.1)
+        (admitted,) = harness.lines("job admitted")
+        self.assertEqual(admitted["estimated_wait_ms"], 25)
+        harness.advance(0.2)
+        harness.submit("tight", 0.03)
+        self.assertEqual(set(harness.started_at), {"overdue"})
+        self.assertEqual(len(harness.started_at["overdue"]), 2)
--- a/packages/daemon/carobramp_daemon/cells/owner.py
+++ b/packages/daemon/carobramp_daemon/cells/owner.py
@@ -11,6 +11,7 @@
 from carobramp_core.cells.messages import UpstreamLosses
 from carobramp_core.cells.orders import (
     ClosedLink,
+    CountEvent,
     EntriesPaused,
     EntryLinksClosed,
     EntryMessageReceived,
@@ -218,6 +219,8 @@
             self.send_losses(effect.message)
         elif isinstance(effect, LogEvent):
             self.event_log.info(effect.message, cell=self.owner.cell, **effect.fields)
+        elif isinstance(effect, CountEvent):
+            self.metrics.increment(effect.counter, effect.label, effect.amount)
         elif isinstance(effect, OwnershipLost):
             self.on_ownership_lost(self, effect.upstream)
 
--- a/packages/daemon/carobramp_daemon/metrics.py
+++ b/packages/daemon/carobramp_daemon/metrics.py
@@ -24,6 +24,7 @@
     "claims_dropped": "Takeovers that were considered and dropped, by reason.",
     "takeovers": "Cells that this daemon came to own, by cell.",
     "job_refusals": "Requests for jobs without a result, by reason.",
+    "job_admissions": "Decisions of owners on offered jobs, and abandoned ones.",
     "platform_invalid": "Entries of the platform that could not be used, by table.",
     "unexpected_errors": "Exceptions that were contained, by activity.",
     "guard_trips": "Guards that opened, by service.",
