Count the size of each offered job once

Cause: a wide job is offered more often than a small one, first to start at once and then to wait, and weighed more in the sizes that bands derive from. Change: sizes are counted with the decision that is recorded.

--- a/packages/core/carobramp_core/cells/admission.py
+++ b/packages/core/carobramp_core/cells/admission.py
@@ -69,6 +69,7 @@
     yields = owner.fair_share.has_to_yield(band)
     admission = decide_admission(owner, offer, tasks, now, yields)
     if offer.may_wait or admission.decision == Decision.AT_ONCE:
+        owner.fair_share.add_size(offer.job.queue, core_s)
         core_s = len(tasks) * tasks[0].core_s()
         owner.fair_share.record(band, core_s, not admission.rejected, now)
     effects.append(CountEvent("job_admissions", admission.decision))
--- a/packages/core/carobramp_core/cells/fair_share.py
+++ b/packages/core/carobramp_core/cells/fair_share.py
@@ -50,17 +50,20 @@
         self.recent: collections.deque[float] = collections.deque()
         self.ordered: list[float] = []
 
-    def add(self, core_s) -> SizeBand:
-        """Add the work of a job and return its band."""
+    def add(self, core_s):
+        """Add the work of a job."""
         self.recent.append(core_s)
         bisect.insort(self.ordered, core_s)
-        count = len(self.ordered)
-        if count > SIZE_SAMPLES:
+        if len(self.ordered) > SIZE_SAMPLES:
             oldest = self.recent.popleft()
             del self.ordered[bisect.bisect_left(self.ordered, oldest)]
+
+    def band(self, core_s) -> SizeBand:
+        """Return the band of a job by its work."""
+        count = len(self.ordered)
         if count < MIN_SIZE_SAMPLES:
             return SizeBand.REST
-        rank = bisect.bisect_left(self.ordered, core_s) / len(self.ordered)
+        rank = bisect.bisect_left(self.ordered, core_s) / count
         if rank >= 0.9:
             return SizeBand.LARGEST_TENTH
         return SizeBand.NEXT_FIFTH if rank >= 0.7 else SizeBand.REST
@@ -104,10 +107,15 @@
         self.sizes: dict[str, RecentSizes] = {}
 
     def band(self, queue, core_s) -> Band:
-        """Return the band of a job with `core_s` of work, and count its size."""
+        """Return the band of a job with `core_s` of work."""
+        sizes = self.sizes.get(queue)
+        return queue, sizes.band(core_s) if sizes else SizeBand.REST
+
+    def add_size(self, queue, core_s):
+        """Add the work of a job, once for each job, to the recent sizes."""
         if queue not in self.sizes:
             self.sizes[queue] = RecentSizes()
-        return queue, self.sizes[queue].add(core_s)
+        self.sizes[queue].add(core_s)
 
     def record(self, band: Band, core_s, admitted, now):
         """Record that a job was admitted or rejected."""
--- a/packages/core/carobramp_core/cells/tests/test_fair_share.py
+++ b/packages/core/carobramp_core/cells/tests/test_fair_share.py
@@ -40,12 +40,12 @@
         """Guards against bands that stay those of a load that is over."""
         share = FairShare()
         for number in range(400):
-            share.band("q", number % 100)
+            share.add_size("q", number % 100)
         self.assertEqual(share.band("q", 95.0)[1], SizeBand.LARGEST_TENTH)
         self.assertEqual(share.band("q", 75.0)[1], SizeBand.NEXT_FIFTH)
         self.assertEqual(share.band("q", 50.0)[1], SizeBand.REST)
         for number in range(400):
-            share.band("q", number % 100 / 10)
+            share.add_size("q", number % 100 / 10)
         self.assertEqual(share.band("q", 50.0)[1], SizeBand.LARGEST_TENTH)
 
 
--- a/packages/daemon/carobramp_daemon/tests/test_contained_errors.py
+++ b/packages/daemon/carobramp_daemon/tests/test_contained_errors.py
@@ -7,7 +7,7 @@
 from carobramp_core.cells.entry import Entry
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import Interrupted
-from carobramp_core.cells.orders import OwnerTick, RunId, StartOrder
+from carobramp_core.cells.orders import CountEvent, OwnerTick, RunId, StartOrder
 from carobramp_core.cells.tests.support import job
 from carobramp_daemon.cells.entry import EntryService
 from carobramp_daemon.cells.owner import OwnerService
@@ -93,6 +93,16 @@
         self.assertEqual(carried_out, orders)
         self.assertEqual(service.metrics.counts[ERRORS]["StartOrder"], 1)
 
+    async def test_decisions_of_the_owner_are_counted(self):
+        """Guards against rejections that no metric shows."""
+        owner = mock.Mock(limits=CellLimits())
+        owner.handle.return_value = [CountEvent("job_admissions", "late", 2)]
+        service = OwnerService(
+            owner, mock.Mock(), mock.Mock(), None, Metrics(), Log("owner", "front-1")
+        )
+        service.dispatch(OwnerTick())
+        self.assertEqual(service.metrics.counts["job_admissions"]["late"], 2)
+
 
 if __name__ == "__main__":
     unittest.main()
