--- a/packages/core/carobramp_core/cells/admission.py
+++ b/packages/core/carobramp_core/cells/admission.py
@@ -1,6 +1,7 @@
 """Which offered tasks an owner queues, and which it returns to their entries."""
 
 from carobramp_core.cells.evacuation import is_evacuated
+from carobramp_core.cells.job_admission import Decision, decide_admission
 from carobramp_core.cells.losses import record_placement_losses
 from carobramp_core.cells.messages import (
     Offer,
@@ -8,7 +9,7 @@
     TasksReturned,
     UpstreamLosses,
 )
-from carobramp_core.cells.orders import LogEvent, SendToEntry
+from carobramp_core.cells.orders import CountEvent, LogEvent, SendToEntry
 from carobramp_core.cells.placement import (
     WaitingTask,
     ends_too_late,
@@ -18,6 +19,7 @@
 )
 
 RETRY_AFTER_MIN_S = 0.5
+MS_PER_S = 1000
 
 
 def admit_tasks(owner, entry, offer: Offer, indexes, received_at, now, effects):
@@ -42,6 +44,9 @@
         owner.enqueue_task(job, index, entry, received_at, offer.avoid)
         for index in indexes
     ]
+    if owner.scheduling.job_admission:
+        admit_job(owner, offer, tasks, now, effects)
+        return
     if offer.committed and offer.may_wait:
         return
     if offer.may_wait:
@@ -51,6 +56,45 @@
     return_tasks(owner, [t for t in tasks if t in owner.waiting], now, effects)
 
 
+def admit_job(owner, offer: Offer, tasks, now, effects):
+    """Let the queued tasks of an offer start or wait, or return them, as a whole.
+
+    Those that may not wait start as far as they fit, unless other jobs wait.
+    """
+    core_s = offer.job.tasks * tasks[0].core_s()
+    band = owner.fair_share.band(offer.job.queue, core_s)
+    favoured = owner.fair_share.is_favoured(band)
+    for task in tasks:
+        task.started = offer.committed or offer.job.job_id in owner.runs_by_job
+        task.band, task.favoured = band, favoured
+    yields = owner.fair_share.has_to_yield(band)
+    admission = decide_admission(owner, offer, tasks, now, yields)
+    if offer.may_wait or admission.decision == Decision.AT_ONCE:
+        owner.fair_share.add_size(offer.job.queue, core_s)
+        core_s = len(tasks) * tasks[0].core_s()
+        owner.fair_share.record(band, core_s, not admission.rejected, now)
+    effects.append(CountEvent("job_admissions", admission.decision))
+    waits = offer.may_wait and admission.decision != Decision.AT_ONCE
+    fields = {
+        "estimated_wait_ms": round(admission.wait_s * MS_PER_S),
+        "tasks_ahead": admission.tasks_ahead,
+        "startable": admission.startable,
+        "decision": admission.decision,
+    }
+    if admission.rejected:
+        reason = ReturnReason.OVERLOADED if waits else ReturnReason.NO_CAPACITY
+        return_tasks(owner, tasks, now, effects, reason, admission.wait_s, fields)
+    elif waits:
+        for task in tasks:
+            task.admitted_at, task.estimated_wait_s = now, admission.wait_s
+        fields |= {"job_id": offer.job.job_id, "tasks": len(tasks)}
+        effects.append(LogEvent("job admitted", fields))
+    else:
+        owner.place_tasks(now, effects)
+        if not offer.may_wait:
+            return_tasks(owner, [t for t in tasks if t in owner.waiting], now, effects)
+
+
 def cell_unsuitable_reason(owner, job) -> ReturnReason | None:
     """Return why the cell could not run a task even if it were idle, or None.
 
@@ -89,11 +133,17 @@
 
 
 def return_tasks(
-    owner, tasks, now, effects, reason=ReturnReason.NO_CAPACITY, delay_s=0.0
+    owner,
+    tasks,
+    now,
+    effects,
+    reason=ReturnReason.NO_CAPACITY,
+    delay_s=0.0,
+    log_fields=None,
 ):
     """Return waiting tasks of one job to its entry.
 
-    `delay_s` is the expected wait for capacity.
+    `delay_s` is the expected wait for capacity; `log_fields` are logged in addition.
     """
     if not tasks:
         return
@@ -114,6 +164,7 @@
             "delay_s": round(delay_s, 3),
             "retry_after_s": round(retry_after_s, 3),
             "waiting": len(owner.waiting),
+            **(log_fields or {}),
         }
         effects.append(LogEvent("tasks returned", fields))
 
--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterable
 
 from carobramp_core.cells.admission import admit_tasks
+from carobramp_core.cells.best_fit import choose_best_fit, services_in_scarcity
 from carobramp_core.cells.cell_evacuation import return_evacuated_tasks
 from carobramp_core.cells.crash_records import CrashRecords
 from carobramp_core.cells.evacuation import (
@@ -22,6 +23,8 @@
     is_evacuated,
 )
 from carobramp_core.cells.event_handlers import on_event
+from carobramp_core.cells.fair_share import FairShare
+from carobramp_core.cells.job_order import rank_jobs
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import (
     CapacityReport,
@@ -128,6 +131,7 @@
         self.cancelled_jobs: dict[str, float] = {}
         # Estimators by queue.
         self.run_time_estimators: dict[str, RunTimeEstimator] = {}
+        self.fair_share = FairShare()
         self.ownership_lost = False
         self.return_times = ReturnTimes()
         self.crash_records = CrashRecords()
@@ -279,6 +283,7 @@
                 run.job, run.run_id.index, run.entry, run.received_at, ()
             )
             task.stalled_runs = run.stalled_runs
+            task.started = True
             return
         ended = TaskEnded(run.run_id.job_id, run.run_id.index, result, run.upstream)
         effects.append(SendToEntry(run.entry, ended))
@@ -346,7 +351,10 @@
             service: functools.cache(functools.partial(self.top_speed, service, now))
             for service in candidates_by_service
         }
-        self.waiting.sort(key=lambda task: urgency_key(task, now))
+        self.sort_waiting(now)
+        scarce = set()
+        if self.scheduling.job_admission:
+            scarce = services_in_scarcity(self.waiting, candidates_by_service)
         still_waiting, started = [], {}
         for position, task in enumerate(self.waiting):
             service = task.job.service
@@ -364,7 +372,8 @@
                     u for u in candidates if u is not reserved
                 ]
             else:
-                upstream = choose_upstream(task, candidates, top_speed, now)
+                choose = choose_best_fit if service in scarce else choose_upstream
+                upstream = choose(task, candidates, top_speed, now)
             if upstream is None:
                 still_waiting.append(task)
                 continue
@@ -390,6 +399,14 @@
             effects.append(SendToEntry(entry, message))
             effects.append(self.placement_log_event(job_id, placed, now))
 
+    def sort_waiting(self, now):
+        """Sort the waiting tasks, the first to start first."""
+        if self.scheduling.job_admission:
+            jobs = rank_jobs(self.waiting, self.runs_by_job, self.upstreams, now)
+            self.waiting = [task for job in jobs for task in job.tasks]
+            return
+        self.waiting.sort(key=lambda task: urgency_key(task, now))
+
     def upstreams_with_free_cpu(self, now):
         """Return the upstreams that can take the smallest waiting task, by service.
 
@@ -431,6 +448,10 @@
             "waiting": len(self.waiting),
             "token": self.token,
         }
+        is_last = all(task.job.job_id != job_id for task in self.waiting)
+        if first.estimated_wait_s is not None and is_last:
+            fields["estimated_wait_ms"] = round(first.estimated_wait_s * MS_PER_S)
+            fields["waited_ms"] = round((now - first.admitted_at) * MS_PER_S)
         return LogEvent("tasks started", fields)
 
     def handle_offer(self, entry, offer: Offer, now, effects):
