Offer overloaded returns to another cell

With expected_end_routing the entry offers the tasks to a cell that was not tried and whose fresh report shows room, three offers in all, and otherwise rejects at once with the shortest delay that was returned.

--- a/packages/core/carobramp_core/cells/entry.py
+++ b/packages/core/carobramp_core/cells/entry.py
@@ -43,6 +43,7 @@
 )
 from carobramp_core.cells.open_jobs import CellView, LostTasks, OpenJob
 from carobramp_core.cells.orders import LogEvent
+from carobramp_core.cells.overload_returns import offer_after_overload
 from carobramp_schema.generated.scheduling import SchedulingSettings
 
 RETRY_AFTER_S = 1.0
@@ -241,6 +242,9 @@
             last_reason = next(reversed(unsuitable.values()))
             self.refuse_job(open_job, last_reason, RETRY_AFTER_S, now, effects)
             return
+        if open_job.overload_delays:
+            offer_after_overload(self, open_job, indexes, suitable, now, effects)
+            return
         untried = self.untried_cells(open_job)
         with_capacity = [
             name
@@ -280,6 +284,8 @@
             open_job.placements_of(indexes) if resumed else (),
         )
         open_job.offered_by_cell.setdefault(cell, set()).update(indexes)
+        if not resumed:
+            open_job.count_offer(indexes)
         effects.append(SendToOwner(cell, offer))
         view = self.cells[cell]
         fields = {
@@ -537,9 +543,11 @@
         entry.refuse_job(open_job, reason, 0.0, now, effects)
         return
     if message.reason == ReturnReason.OVERLOADED:
-        reason = NoResultReason.OVERLOADED
-        entry.refuse_job(open_job, reason, message.retry_after_s, now, effects)
-        return
+        if not entry.scheduling.expected_end_routing:
+            reason = NoResultReason.OVERLOADED
+            entry.refuse_job(open_job, reason, message.retry_after_s, now, effects)
+            return
+        open_job.overload_delays[cell] = message.retry_after_s
     if message.reason in UNSUITABLE_REASONS:
         open_job.unsuitable_cells[cell] = UNSUITABLE_REASONS[message.reason]
     open_job.tried_cells.add(cell)
--- a/packages/core/carobramp_core/cells/limits.py
+++ b/packages/core/carobramp_core/cells/limits.py
@@ -7,6 +7,10 @@
 # Error from rounding the clocks of owner and upstream to whole milliseconds.
 CLOCK_ROUNDING_S = 0.004
 
+# Heartbeats after which the last report of an owner counts as unknown. A link is closed
+# at about that age, so that an older one comes from an owner that may be lost.
+REPORT_MAX_HEARTBEATS = 4
+
 
 @dataclasses.dataclass(frozen=True)
 class CellLimits:
@@ -63,6 +67,10 @@
     cancel_retention_s: float = 10.0
     caller_retry_s: float = 1.3
 
+    def report_max_age_s(self) -> float:
+        """Return the age from which a capacity report says nothing of the present."""
+        return REPORT_MAX_HEARTBEATS * self.heartbeat_s
+
     def lease_expiry_s(self) -> float:
         """Return the time from the last renewal until a lease has certainly expired."""
         return self.lease_s / (1 - CLOCK_DRIFT) + CLOCK_ROUNDING_S
--- a/packages/core/carobramp_core/cells/open_jobs.py
+++ b/packages/core/carobramp_core/cells/open_jobs.py
@@ -37,6 +37,9 @@
     started : whether a task may have started
     unoffered_indexes : indexes of the tasks that wait for a link to an owner
     placements : where each task was last started, while its run may be active
+    offer_counts : number of offers of each task in the current round, by index
+    overload_delays : cells that returned tasks as overloaded in the current round,
+        with the time in seconds until they expect free capacity
     """
 
     job: Job
@@ -53,6 +56,8 @@
     started: bool = False
     unoffered_indexes: set[int] = dataclasses.field(default_factory=set)
     placements: dict[int, Placement] = dataclasses.field(default_factory=dict)
+    offer_counts: dict[int, int] = dataclasses.field(default_factory=dict)
+    overload_delays: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def owner_wait_s(self):
         """Return the age up to which the job waits for a link to an owner."""
@@ -71,6 +76,17 @@
         """Start a new round of offers."""
         self.tried_cells.clear()
         self.unsuitable_cells.clear()
+        self.offer_counts.clear()
+        self.overload_delays.clear()
+
+    def count_offer(self, indexes):
+        """Count one offer of each of the tasks `indexes`."""
+        for index in indexes:
+            self.offer_counts[index] = self.offer_counts.get(index, 0) + 1
+
+    def offer_count(self, indexes) -> int:
+        """Return how often the most often offered of the tasks was offered."""
+        return max((self.offer_counts.get(index, 0) for index in indexes), default=0)
 
 
 @dataclasses.dataclass(slots=True)
@@ -87,6 +103,11 @@
         """Return whether a task fits by the last report, or no report has come yet."""
         return self.free_cpu >= job.cpu or not self.total_cpu
 
+    def shows_capacity(self, job: Job, now, max_age_s):
+        """Return whether a task fits by a report that is not older than `max_age_s`."""
+        fresh = now - self.reported_at <= max_age_s
+        return fresh and bool(self.total_cpu) and self.free_cpu >= job.cpu
+
     def backlog_per_core(self):
         """Return the waiting work per core; only for comparison between cells.
 
