Carry rooms by service in the capacity report

A report gave the sum of free cores alone: 12 upstreams with 5 free cores each were reported as 60 although no task of 8 fits. ServiceRoom says how many tasks of a size can start, when the next one could, and how fast upstreams with room are. Fields are added only; a report without them decodes as before.

--- a/packages/core/carobramp_core/cells/messages.py
+++ b/packages/core/carobramp_core/cells/messages.py
@@ -5,6 +5,10 @@
 
 # Multiple of the objective after which a result is useless to the caller.
 LATE_FACTOR = 3.0
+# Bounds of a capacity report, which up to 120 entries receive ten times a second.
+MAX_SERVICE_ROOMS = 4
+# Longest reported wait, also sent while nothing can start at all.
+ROOM_WAIT_MAX_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -207,13 +211,34 @@
     upstream: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceRoom:
+    """When tasks of one size and service can start in a cell.
+
+    Parameters
+    ==========
+
+    task_cpu : size of such a task, in thousandths of a core
+    startable : number of such tasks that can start now, after those that wait already
+    wait_s : time until the next one could start, at most `ROOM_WAIT_MAX_S`
+    speed : mean learned speed of the upstreams with free capacity
+    """
+
+    service: str
+    task_cpu: int
+    startable: int
+    wait_s: float = 0.0
+    speed: float = 1.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CapacityReport:
     """Capacity of a cell, sent with each heartbeat of its owner.
 
     `free_cpu` and `total_cpu` are in thousandths of a core; `waiting_s` is the
     expected work of the waiting tasks in core-seconds; `token` is the owner's
-    fencing token.
+    fencing token. `rooms` are at most `MAX_SERVICE_ROOMS`, the busiest service first;
+    an owner of an earlier version sends none.
     """
 
     cell: str
@@ -221,6 +246,7 @@
     free_cpu: int
     total_cpu: int
     waiting_s: float
+    rooms: tuple[ServiceRoom, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/daemon/carobramp_daemon/cells/frames.py
+++ b/packages/daemon/carobramp_daemon/cells/frames.py
@@ -24,6 +24,7 @@
     UpstreamNames,
 )
 from carobramp_core.cells.orders import UpstreamRecord, UpstreamState
+from carobramp_daemon.cells.room_frames import decode_rooms, encode_rooms
 from carobramp_schema.generated import cells_pb2 as pb
 
 JOB_FIELDS = (
@@ -133,6 +134,7 @@
         free_cpu=message.free_cpu,
         total_cpu=message.total_cpu,
         waiting_s=message.waiting_s,
+        rooms=encode_rooms(message.rooms),
     )
     return pb.Frame(room=report)
 
@@ -223,7 +225,12 @@
 def decode_capacity_report(report: pb.Room) -> CapacityReport:
     """Return the report of an owner about the free capacity of its cell."""
     return CapacityReport(
-        report.cell, report.token, report.free_cpu, report.total_cpu, report.waiting_s
+        report.cell,
+        report.token,
+        report.free_cpu,
+        report.total_cpu,
+        report.waiting_s,
+        decode_rooms(report.rooms),
     )
 
 
