Report when tasks of the offered sizes can start

With expected_end_routing the owner reports rooms from room_forecast, behind the tasks that wait already (256 at most are simulated). Sizes are those offered in the last 2 s; tasks that fit on no upstream do not count. Each service gets the room of its largest task and, if a report has place, of its median one: cores per task vary by a fifth, and the largest alone would hide half of the places of 32-core upstreams.

--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -23,6 +23,7 @@
     Offer,
     Placement,
     ReturnReason,
+    ServiceRoom,
     TaskEnded,
     TaskResult,
     TasksReturned,
@@ -48,6 +49,7 @@
     urgency_key,
 )
 from carobramp_core.cells.resumed_offers import replace_resumed_offers
+from carobramp_core.cells.service_rooms import OfferedSizes, service_rooms
 from carobramp_core.cells.upstreams import Run, RunPhase, Upstream
 from carobramp_core.run_time_estimator import RunTimeEstimator
 from carobramp_schema.generated.scheduling import SchedulingSettings
@@ -118,6 +120,7 @@
         # Estimators by queue.
         self.run_time_estimators: dict[str, RunTimeEstimator] = {}
         self.ownership_lost = False
+        self.offered_sizes = OfferedSizes()
         self.crash_records = CrashRecords()
         self.crash_records.record(losses, now)
 
@@ -428,6 +431,8 @@
             remaining_offer = dataclasses.replace(offer, indexes=tuple(unstarted))
             self.resumed_offers.append((entry, remaining_offer, received_at))
             return
+        if self.scheduling.expected_end_routing:
+            self.offered_sizes.record(job, now)
         admit_tasks(self, entry, offer, unstarted, received_at, now, effects)
 
     def total_cpu(self, service, now):
@@ -520,4 +525,7 @@
         free = sum(u.free_cpu(now) for u in self.upstreams.values())
         total = sum(u.record.cpu for u in self.upstreams.values() if u.is_usable(now))
         work_core_s = sum(task.core_s() for task in self.waiting)
-        return CapacityReport(self.cell, self.token, free, total, work_core_s)
+        rooms: tuple[ServiceRoom, ...] = ()
+        if self.scheduling.expected_end_routing:
+            rooms = service_rooms(self, now)
+        return CapacityReport(self.cell, self.token, free, total, work_core_s, rooms)
