Offer tasks where they are expected to end first

With expected_end_routing an entry decides by the rooms in the reports, less its own offers that a report does not contain yet. Offers to cells with room have no leave to wait, so that the rest of a split job comes back at once; the third offer of a task, or the first without room anywhere, has it. Reports without rooms count by free cores and backlog as before.

Each of twelve single changes to cell_rooms, expected_end_routing and overload_returns makes at least one test fail.

--- a/packages/core/carobramp_core/cells/entry.py
+++ b/packages/core/carobramp_core/cells/entry.py
@@ -5,16 +5,21 @@
 
 Tasks are offered to one cell after another that may start them at once, the home cell
 first; the remaining tasks wait at the cell with the least waiting work per core among
-those with an upstream that could run them. When the link to an owner closes, its tasks
-are offered to the cell's next owner, which adopts runs that are still active, or to any
-cell once their runs are certainly over.
+those with an upstream that could run them. With the setting `expected_end_routing`, the
+cells are chosen as in `cell_choice` instead.
+
+When the link to an owner closes, its tasks are offered to the cell's next owner, which
+adopts runs that are still active, or to any cell once their runs are certainly over.
 """
 
 import dataclasses
 import functools
 import math
+import random
 
+from carobramp_core.cells.cell_choice import OfferKind
 from carobramp_core.cells.crash_records import CrashRecords
+from carobramp_core.cells.expected_end_routing import offer_by_expected_end
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import (
     CancelJob,
@@ -168,6 +173,7 @@
 
     home_cell : cell of the daemon's own availability zone; it is tried first
     scheduling : the scheduling decisions that are switched on
+    rng : source of the random choices between equal cells
     """
 
     def __init__(
@@ -175,10 +181,12 @@
         home_cell,
         limits: CellLimits,
         scheduling: SchedulingSettings | None = None,
+        rng: random.Random | None = None,
     ):
         self.home_cell = home_cell
         self.limits = limits
         self.scheduling = scheduling or SchedulingSettings()
+        self.rng = rng or random.Random(0)
         self.jobs: dict[str, OpenJob] = {}
         self.cells: dict[str, CellView] = {}
         # Names of the upstreams of each cell, with the time at which an owner of the
@@ -245,6 +253,9 @@
         if open_job.overload_delays:
             offer_after_overload(self, open_job, indexes, suitable, now, effects)
             return
+        if self.scheduling.expected_end_routing:
+            offer_by_expected_end(self, open_job, indexes, suitable, now, effects)
+            return
         untried = self.untried_cells(open_job)
         with_capacity = [
             name
@@ -269,8 +280,12 @@
         effects,
         may_wait=False,
         resumed=False,
+        kind: OfferKind | None = None,
     ):
-        """Send one offer to the owner of a cell, and record and log it."""
+        """Send one offer to the owner of a cell, and record and log it.
+
+        `kind` says by which rule the cell was chosen, if one was applied.
+        """
         offer = Offer(
             open_job.job,
             tuple(sorted(indexes)),
@@ -284,10 +299,11 @@
             open_job.placements_of(indexes) if resumed else (),
         )
         open_job.offered_by_cell.setdefault(cell, set()).update(indexes)
+        view = self.cells[cell]
         if not resumed:
             open_job.count_offer(indexes)
+            view.rooms.record_offer(open_job.job, len(indexes), may_wait, now)
         effects.append(SendToOwner(cell, offer))
-        view = self.cells[cell]
         fields = {
             "job_id": open_job.job.job_id,
             "cell": cell,
@@ -297,8 +313,16 @@
             "free_cpu": view.free_cpu,
             "report_age_ms": round((now - view.reported_at) * MS_PER_S),
         }
+        if kind is not None:
+            fields["kind"] = kind
         effects.append(LogEvent("tasks offered", fields))
 
+    def record_answer(self, cell, job_id, now):
+        """Record that the owner of a cell has answered an offer of a job."""
+        view = self.cells.get(cell)
+        if view is not None:
+            view.rooms.record_answer(job_id, now)
+
     def refuse_job(self, open_job: OpenJob, reason, retry_after_s, now, effects):
         """End a job without a result.
 
@@ -492,6 +516,7 @@
         view.total_cpu = message.total_cpu
         view.waiting_s = message.waiting_s
         view.reported_at = now
+        view.rooms.record_report(message.rooms, now)
 
 
 @on_message.register
@@ -519,6 +544,7 @@
     if open_job is not None:
         open_job.started = True
         open_job.placements.update({p.index: p for p in message.placements})
+        entry.record_answer(cell, message.job_id, now)
 
 
 @on_message.register
@@ -535,6 +561,7 @@
     open_job = entry.jobs.get(message.job_id)
     if open_job is None:
         return
+    entry.record_answer(cell, message.job_id, now)
     offered = open_job.offered_by_cell.get(cell, set())
     offered.difference_update(message.indexes)
     if message.reason in INTERRUPTIONS:
--- a/packages/core/carobramp_core/cells/open_jobs.py
+++ b/packages/core/carobramp_core/cells/open_jobs.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 
+from carobramp_core.cells.cell_rooms import CellRooms
 from carobramp_core.cells.messages import Job, NoResultReason, Placement
 
 # Fraction of the objective for which a job waits for a link to an owner. A later
@@ -98,16 +99,12 @@
     total_cpu: int = 0
     waiting_s: float = 0.0
     reported_at: float = 0.0
+    rooms: CellRooms = dataclasses.field(default_factory=CellRooms)
 
     def may_have_capacity(self, job: Job):
         """Return whether a task fits by the last report, or no report has come yet."""
         return self.free_cpu >= job.cpu or not self.total_cpu
 
-    def shows_capacity(self, job: Job, now, max_age_s):
-        """Return whether a task fits by a report that is not older than `max_age_s`."""
-        fresh = now - self.reported_at <= max_age_s
-        return fresh and bool(self.total_cpu) and self.free_cpu >= job.cpu
-
     def backlog_per_core(self):
         """Return the waiting work per core; only for comparison between cells.
 
--- a/packages/core/carobramp_core/cells/overload_returns.py
+++ b/packages/core/carobramp_core/cells/overload_returns.py
@@ -10,13 +10,15 @@
 would waste work, and the rejection could no longer say that the job has not run.
 """
 
+from carobramp_core.cells.cell_choice import OfferKind, choose_earliest
+from carobramp_core.cells.expected_end_routing import (
+    MAX_OFFERS,
+    demand_of,
+    known_candidates,
+)
 from carobramp_core.cells.messages import NoResultReason
 from carobramp_core.cells.open_jobs import OpenJob
 
-# Offers of one task after which a return as overloaded is final. Each costs a round
-# trip, and a caller can send a rejected job elsewhere only while there is time left.
-MAX_OFFERS = 3
-
 
 def offer_after_overload(entry, open_job: OpenJob, indexes, suitable, now, effects):
     """Offer returned tasks to a cell that may have room, or end the job at once.
@@ -25,7 +27,8 @@
     """
     cell = next_cell(entry, open_job, indexes, suitable, now)
     if cell is not None:
-        entry.send_offer(open_job, cell, indexes, now, effects, may_wait=True)
+        kind = OfferKind.RETRY
+        entry.send_offer(open_job, cell, indexes, now, effects, True, kind=kind)
         return
     reason = NoResultReason.OVERLOADED
     delay_s = min(open_job.overload_delays.values())
@@ -42,9 +45,12 @@
         return None
     if now - open_job.received_at > open_job.job.useless_after_s():
         return None
-    max_age_s = entry.limits.report_max_age_s()
-    for name in entry.untried_cells(open_job):
-        view = entry.cells[name]
-        if name in suitable and view.shows_capacity(open_job.job, now, max_age_s):
-            return name
-    return None
+    candidates = [
+        item
+        for item in known_candidates(entry, open_job, suitable, now)
+        if not item.tried and item.startable > 0
+    ]
+    if not candidates:
+        return None
+    demand = demand_of(open_job, len(indexes), now)
+    return choose_earliest(candidates, demand, entry.rng).cell
