Count offers by cell and rule, and returned tasks

With expected_end_routing, operators see by what a cell was chosen: the log line of an offer has the rule, the room, wait and speed that counted, and the round trip; counters have offers by cell and rule and returned tasks by reason, a histogram the age of the report at the choice.

The test of the counters fails without the change, as the counters are new.

--- a/packages/core/carobramp_core/cells/entry.py
+++ b/packages/core/carobramp_core/cells/entry.py
@@ -19,7 +19,10 @@
 
 from carobramp_core.cells.cell_choice import OfferKind
 from carobramp_core.cells.crash_records import CrashRecords
-from carobramp_core.cells.expected_end_routing import offer_by_expected_end
+from carobramp_core.cells.expected_end_routing import (
+    choice_fields,
+    offer_by_expected_end,
+)
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import (
     CancelJob,
@@ -151,6 +154,18 @@
     queue: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CountOffer:
+    """Effect that counts an offer of a cell that was chosen by its report.
+
+    `report_age_s` is the age of the cell's last report at the choice.
+    """
+
+    cell: str
+    kind: OfferKind
+    report_age_s: float
+
+
 EntryEvent = (
     JobReceived
     | CallerGone
@@ -162,7 +177,7 @@
     | LongPauseEnded
     | DrainStarted
 )
-EntryEffect = SendToOwner | AnswerCaller | LogEvent
+EntryEffect = SendToOwner | AnswerCaller | CountOffer | LogEvent
 
 
 class Entry:
@@ -300,6 +315,10 @@
         )
         open_job.offered_by_cell.setdefault(cell, set()).update(indexes)
         view = self.cells[cell]
+        chosen_by = {}
+        if kind is not None:
+            chosen_by = choice_fields(view, open_job.job, kind, now)
+            effects.append(CountOffer(cell, kind, now - view.reported_at))
         if not resumed:
             open_job.count_offer(indexes)
             view.rooms.record_offer(open_job.job, len(indexes), may_wait, now)
@@ -313,9 +332,7 @@
             "free_cpu": view.free_cpu,
             "report_age_ms": round((now - view.reported_at) * MS_PER_S),
         }
-        if kind is not None:
-            fields["kind"] = kind
-        effects.append(LogEvent("tasks offered", fields))
+        effects.append(LogEvent("tasks offered", fields | chosen_by))
 
     def record_answer(self, cell, job_id, now):
         """Record that the owner of a cell has answered an offer of a job."""
--- a/packages/core/carobramp_core/cells/expected_end_routing.py
+++ b/packages/core/carobramp_core/cells/expected_end_routing.py
@@ -94,3 +94,15 @@
     may_wait = last_offer or cell in open_job.tried_cells
     kind = OfferKind.UNKNOWN
     entry.send_offer(open_job, cell, indexes, now, effects, may_wait, kind=kind)
+
+
+def choice_fields(view, job, kind: OfferKind, now) -> dict:
+    """Return the fields of a log line that say by what a cell was chosen."""
+    chosen = candidate(view, "", job, now)
+    return {
+        "kind": kind,
+        "startable": chosen.startable,
+        "wait_ms": round(chosen.wait_s * 1000),
+        "speed": round(chosen.speed, 2),
+        "round_trip_ms": round(chosen.round_trip_s * 1000, 1),
+    }
--- a/packages/daemon/carobramp_daemon/cells/entry.py
+++ b/packages/daemon/carobramp_daemon/cells/entry.py
@@ -9,6 +9,7 @@
     AnswerCaller,
     CallerGone,
     CancelRequested,
+    CountOffer,
     DrainStarted,
     Entry,
     EntryEffect,
@@ -21,7 +22,13 @@
     OwnerMessageReceived,
     SendToOwner,
 )
-from carobramp_core.cells.messages import Interrupted, Job, NoResultReason, Outcome
+from carobramp_core.cells.messages import (
+    Interrupted,
+    Job,
+    NoResultReason,
+    Outcome,
+    TasksReturned,
+)
 from carobramp_core.cells.orders import LogEvent
 from carobramp_core.cells.ports import Link
 from carobramp_daemon.cells.clock import now
@@ -138,8 +145,17 @@
         were offered again to the current one.
         """
         if self.links.get(cell) is link:
+            self.count_returned(message)
             self.dispatch(OwnerMessageReceived(cell, message))
 
+    def count_returned(self, message):
+        """Count the tasks that an owner returns, if cells are chosen by reports."""
+        if self.entry.scheduling.expected_end_routing and isinstance(
+            message, TasksReturned
+        ):
+            count = len(message.indexes)
+            self.metrics.increment("tasks_returned", message.reason, count)
+
     def dispatch(self, event: EntryEvent) -> bool:
         """Pass an event to the entry and carry out the effects that it returns.
 
@@ -177,6 +193,10 @@
                 link.send(effect.message)
         elif isinstance(effect, AnswerCaller):
             self.complete_job(effect)
+        elif isinstance(effect, CountOffer):
+            self.metrics.increment("offers", f"{effect.cell}/{effect.kind}")
+            age_ms = effect.report_age_s * 1000
+            self.metrics.observe("report_age_ms", effect.cell, age_ms)
         elif isinstance(effect, LogEvent):
             self.event_log.info(effect.message, **effect.fields)
 
--- a/packages/daemon/carobramp_daemon/metrics.py
+++ b/packages/daemon/carobramp_daemon/metrics.py
@@ -24,11 +24,14 @@
     "claims_dropped": "Takeovers that were considered and dropped, by reason.",
     "takeovers": "Cells that this daemon came to own, by cell.",
     "job_refusals": "Requests for jobs without a result, by reason.",
+    "offers": "Offers of tasks to cells that reports led to, by cell/rule.",
+    "tasks_returned": "Tasks that owners returned to this daemon, by reason.",
     "platform_invalid": "Entries of the platform that could not be used, by table.",
     "unexpected_errors": "Exceptions that were contained, by activity.",
     "guard_trips": "Guards that opened, by service.",
 }
 HISTOGRAMS = {
+    "report_age_ms": "Age of the capacity report at an offer, in ms, by cell.",
     "response_ms": "Time from receipt to answer, in milliseconds, by class.",
     "queue_ms": "Time from receipt to task start, in milliseconds, by class.",
 }
--- a/packages/daemon/carobramp_daemon/tests/test_cell_entry.py
+++ b/packages/daemon/carobramp_daemon/tests/test_cell_entry.py
@@ -22,6 +22,7 @@
 from carobramp_daemon.cells.entry import EntryService
 from carobramp_daemon.logs import Log
 from carobramp_daemon.metrics import Metrics
+from carobramp_schema.generated.scheduling import SchedulingSettings
 
 
 class RecordingLink:
@@ -92,3 +93,35 @@
         ended = TaskEnded(self.job.job_id, 0, TaskResult.DONE, "i-1")
         self.service.handle_message("tilburg", self.current, ended)
         self.assertEqual(await self.answer, Completed())
+
+
+class ChoiceMetricsTests(unittest.IsolatedAsyncioTestCase):
+    """Counters of the offers that follow capacity reports."""
+
+    async def count(self, scheduling):
+        """Offer and return a job; return the counters of offers and returned tasks."""
+        entry = Entry("tilburg", CellLimits(), scheduling)
+        service = EntryService(entry, Metrics(), Log("entry", "front-1"))
+        link = RecordingLink()
+        service.owner_link_opened("tilburg", 1, link)
+        report = CapacityReport("tilburg", 1, 16000, 16000, 0.0)
+        service.handle_message("tilburg", link, report)
+        answer = asyncio.create_task(service.submit(job(tasks=2)))
+        await asyncio.sleep(0)
+        reason = ReturnReason.NO_CAPACITY
+        returned = TasksReturned(job().job_id, (0, 1), reason)
+        service.handle_message("tilburg", link, returned)
+        answer.cancel()
+        await asyncio.gather(answer, return_exceptions=True)
+        counts = service.metrics.counts
+        return dict(counts["offers"]), dict(counts["tasks_returned"])
+
+    async def test_offers_and_returned_tasks(self):
+        """Guards against a choice that operators cannot follow."""
+        counts = await self.count(SchedulingSettings(expected_end_routing=True))
+        offers = {"tilburg/home": 1, "tilburg/wait": 1}
+        self.assertEqual(counts, (offers, {"no_room": 2}))
+
+    async def test_decision_that_is_switched_off(self):
+        """Guards against counters of a rule that does not apply."""
+        self.assertEqual(await self.count(SchedulingSettings()), ({}, {}))
