--- a/packages/core/carobramp_core/cells/entry.py
+++ b/packages/core/carobramp_core/cells/entry.py
@@ -5,15 +5,19 @@
 
 Tasks are offered to one cell after another that may start them at once, the home cell
 first; the remaining tasks wait at the cell with the least waiting work per core among
-those with an upstream that could run them. When the link to an owner closes, its tasks
-are offered to the cell's next owner, which adopts runs that are still active, or to any
-cell once their runs are certainly over.
+those with an upstream that could run them. With the setting `expected_end_routing`, the
+cells are chosen as in `cell_choice` instead.
+
+When the link to an owner closes, its tasks are offered to the cell's next owner, which
+adopts runs that are still active, or to any cell once their runs are certainly over.
 """
 
 import dataclasses
 import functools
 import math
+import random
 
+from carobramp_core.cells.cell_choice import OfferKind
 from carobramp_core.cells.crash_records import CrashRecords
 from carobramp_core.cells.entry_evacuation import (
     apply_evacuations,
@@ -25,6 +29,10 @@
     Evacuations,
     EvacuationsRead,
 )
+from carobramp_core.cells.expected_end_routing import (
+    choice_fields,
+    offer_by_expected_end,
+)
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import (
     CancelJob,
@@ -52,6 +60,7 @@
 )
 from carobramp_core.cells.open_jobs import CellView, LostTasks, OpenJob
 from carobramp_core.cells.orders import LogEvent, SendToOwner
+from carobramp_core.cells.overload_returns import offer_after_overload
 from carobramp_schema.generated.scheduling import SchedulingSettings
 
 RETRY_AFTER_S = 1.0
@@ -147,6 +156,18 @@
     queue: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CountOffer:
+    """Effect that counts an offer of a cell that was chosen by its report.
+
+    `report_age_s` is the age of the cell's last report at the choice.
+    """
+
+    cell: str
+    kind: OfferKind
+    report_age_s: float
+
+
 EntryEvent = (
     JobReceived
     | CallerGone
@@ -159,7 +180,7 @@
     | DrainStarted
     | EvacuationsRead
 )
-EntryEffect = SendToOwner | AnswerCaller | LogEvent
+EntryEffect = SendToOwner | AnswerCaller | CountOffer | LogEvent
 
 
 class Entry:
@@ -171,6 +192,7 @@
     home_cell : cell of the daemon's own availability zone; it is tried first
     scheduling : the scheduling decisions that are switched on
     evacuations : evacuated zones; None while the process has not read the requests
+    rng : source of the random choices between equal cells
     """
 
     def __init__(
@@ -179,11 +201,13 @@
         limits: CellLimits,
         scheduling: SchedulingSettings | None = None,
         evacuations: Evacuations | None = NO_EVACUATIONS,
+        rng: random.Random | None = None,
     ):
         self.home_cell = home_cell
         self.evacuations = evacuations
         self.limits = limits
         self.scheduling = scheduling or SchedulingSettings()
+        self.rng = rng or random.Random(0)
         self.jobs: dict[str, OpenJob] = {}
         self.cells: dict[str, CellView] = {}
         # Names of the upstreams of each cell, with the time at which an owner of the
@@ -249,6 +273,12 @@
                 reason = NoResultReason.EVACUATED
             self.refuse_job(open_job, reason, RETRY_AFTER_S, now, effects)
             return
+        if open_job.overload_delays:
+            offer_after_overload(self, open_job, indexes, suitable, now, effects)
+            return
+        if self.scheduling.expected_end_routing:
+            offer_by_expected_end(self, open_job, indexes, suitable, now, effects)
+            return
         untried = self.untried_cells(open_job)
         with_capacity = [
             name
@@ -276,8 +306,12 @@
         effects,
         may_wait=False,
         resumed=False,
+        kind: OfferKind | None = None,
     ):
-        """Send one offer to the owner of a cell, and record and log it."""
+        """Send one offer to the owner of a cell, and record and log it.
+
+        `kind` says by which rule the cell was chosen, if one was applied.
+        """
         offer = Offer(
             open_job.job,
             tuple(sorted(indexes)),
@@ -291,8 +325,15 @@
             open_job.placements_of(indexes) if resumed else (),
         )
         open_job.offered_by_cell.setdefault(cell, set()).update(indexes)
-        effects.append(SendToOwner(cell, offer))
         view = self.cells[cell]
+        chosen_by = {}
+        if kind is not None:
+            chosen_by = choice_fields(view, open_job.job, kind, now)
+            effects.append(CountOffer(cell, kind, now - view.reported_at))
+        if not resumed:
+            open_job.count_offer(indexes)
+            view.rooms.record_offer(open_job.job, len(indexes), may_wait, now)
+        effects.append(SendToOwner(cell, offer))
         fields = {
             "job_id": open_job.job.job_id,
             "cell": cell,
@@ -302,7 +343,13 @@
             "free_cpu": view.free_cpu,
             "report_age_ms": round((now - view.reported_at) * MS_PER_S),
         }
-        effects.append(LogEvent("tasks offered", fields))
+        effects.append(LogEvent("tasks offered", fields | chosen_by))
+
+    def record_answer(self, cell, job_id, now):
+        """Record that the owner of a cell has answered an offer of a job."""
+        view = self.cells.get(cell)
+        if view is not None:
+            view.rooms.record_answer(job_id, now)
 
     def refuse_job(self, open_job: OpenJob, reason, retry_after_s, now, effects):
         """End a job without a result.
@@ -506,6 +553,7 @@
         view.waiting_s = message.waiting_s
         view.reported_at = now
         record_report(entry, view, message, effects)
+        view.rooms.record_report(message.rooms, now)
 
 
 @on_message.register
@@ -533,6 +581,7 @@
     if open_job is not None:
         open_job.started = True
         open_job.placements.update({p.index: p for p in message.placements})
+        entry.record_answer(cell, message.job_id, now)
 
 
 @on_message.register
@@ -549,6 +598,7 @@
     open_job = entry.jobs.get(message.job_id)
     if open_job is None:
         return
+    entry.record_answer(cell, message.job_id, now)
     offered = open_job.offered_by_cell.get(cell, set())
     offered.difference_update(message.indexes)
     if message.reason in INTERRUPTIONS:
@@ -557,9 +607,11 @@
         entry.refuse_job(open_job, reason, 0.0, now, effects)
         return
     if message.reason == ReturnReason.OVERLOADED:
-        reason = NoResultReason.OVERLOADED
-        entry.refuse_job(open_job, reason, message.retry_after_s, now, effects)
-        return
+        if not entry.scheduling.expected_end_routing:
+            reason = NoResultReason.OVERLOADED
+            entry.refuse_job(open_job, reason, message.retry_after_s, now, effects)
+            return
+        open_job.overload_delays[cell] = message.retry_after_s
     if message.reason == ReturnReason.EVACUATED and cell in entry.cells:
         entry.cells[cell].evacuated = True
     if message.reason in UNSUITABLE_REASONS:
--- a/packages/core/carobramp_core/cells/open_jobs.py
+++ b/packages/core/carobramp_core/cells/open_jobs.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 
+from carobramp_core.cells.cell_rooms import CellRooms
 from carobramp_core.cells.messages import Job, NoResultReason, Placement
 
 # Fraction of the objective for which a job waits for a link to an owner. A later
@@ -37,6 +38,9 @@
     started : whether a task may have started
     unoffered_indexes : indexes of the tasks that wait for a link to an owner
     placements : where each task was last started, while its run may be active
+    offer_counts : number of offers of each task in the current round, by index
+    overload_delays : cells that returned tasks as overloaded in the current round,
+        with the time in seconds until they expect free capacity
     """
 
     job: Job
@@ -53,6 +57,8 @@
     started: bool = False
     unoffered_indexes: set[int] = dataclasses.field(default_factory=set)
     placements: dict[int, Placement] = dataclasses.field(default_factory=dict)
+    offer_counts: dict[int, int] = dataclasses.field(default_factory=dict)
+    overload_delays: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def owner_wait_s(self):
         """Return the age up to which the job waits for a link to an owner."""
@@ -71,6 +77,17 @@
         """Start a new round of offers."""
         self.tried_cells.clear()
         self.unsuitable_cells.clear()
+        self.offer_counts.clear()
+        self.overload_delays.clear()
+
+    def count_offer(self, indexes):
+        """Count one offer of each of the tasks `indexes`."""
+        for index in indexes:
+            self.offer_counts[index] = self.offer_counts.get(index, 0) + 1
+
+    def offer_count(self, indexes) -> int:
+        """Return how often the most often offered of the tasks was offered."""
+        return max((self.offer_counts.get(index, 0) for index in indexes), default=0)
 
 
 @dataclasses.dataclass(slots=True)
@@ -87,6 +104,7 @@
     reported_at: float = 0.0
     evacuated: bool = False
     evacuations_version: int = 0
+    rooms: CellRooms = dataclasses.field(default_factory=CellRooms)
 
     def may_have_capacity(self, job: Job):
         """Return whether a task fits by the last report, or no report has come yet."""
--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -32,6 +32,7 @@
     Offer,
     Placement,
     ReturnReason,
+    ServiceRoom,
     TaskEnded,
     TaskResult,
     TasksReturned,
@@ -58,6 +59,7 @@
 )
 from carobramp_core.cells.resumed_offers import replace_resumed_offers
 from carobramp_core.cells.return_times import ReturnTimes
+from carobramp_core.cells.service_rooms import OfferedSizes, service_rooms
 from carobramp_core.cells.upstreams import Run, RunPhase, Upstream
 from carobramp_core.run_time_estimator import RunTimeEstimator
 from carobramp_schema.generated.scheduling import SchedulingSettings
@@ -134,6 +136,7 @@
         self.fair_share = FairShare()
         self.ownership_lost = False
         self.return_times = ReturnTimes()
+        self.offered_sizes = OfferedSizes()
         self.crash_records = CrashRecords()
         self.crash_records.record(losses, now)
 
@@ -480,6 +483,8 @@
             remaining_offer = dataclasses.replace(offer, indexes=tuple(unstarted))
             self.resumed_offers.append((entry, remaining_offer, received_at))
             return
+        if self.scheduling.expected_end_routing:
+            self.offered_sizes.record(job, now)
         admit_tasks(self, entry, offer, unstarted, received_at, now, effects)
 
     def total_cpu(self, service, now):
@@ -574,6 +579,9 @@
         version = self.evacuations.version if self.evacuations else 0
         total = sum(u.record.cpu for u in self.upstreams.values() if u.is_usable(now))
         work_core_s = sum(task.core_s() for task in self.waiting)
+        rooms: tuple[ServiceRoom, ...] = ()
+        if self.scheduling.expected_end_routing and self.may_start():
+            rooms = service_rooms(self, now)
         return CapacityReport(
             self.cell,
             self.token,
@@ -582,4 +590,5 @@
             work_core_s,
             evacuated,
             version,
+            rooms,
         )
--- a/packages/daemon/carobramp_daemon/cells/frames.py
+++ b/packages/daemon/carobramp_daemon/cells/frames.py
@@ -25,6 +25,7 @@
     UpstreamNames,
 )
 from carobramp_core.cells.orders import UpstreamRecord, UpstreamState
+from carobramp_daemon.cells.room_frames import decode_rooms, encode_rooms
 from carobramp_schema.generated import cells_pb2 as pb
 
 JOB_FIELDS = (
@@ -139,6 +140,7 @@
         waiting_s=message.waiting_s,
         evacuated=message.evacuated,
         evacuations_version=message.evacuations_version,
+        rooms=encode_rooms(message.rooms),
     )
     return pb.Frame(room=report)
 
@@ -243,6 +245,7 @@
         report.waiting_s,
         report.evacuated,
         report.evacuations_version,
+        decode_rooms(report.rooms),
     )
 
 
