--- a/packages/testing/carobramp_testing/leased.py
+++ b/packages/testing/carobramp_testing/leased.py
@@ -59,14 +59,23 @@
 
 
 class Daemon:
-    """One daemon process; `lock` is held from an end to the next start."""
+    """One daemon process; `lock` is held from an end to the next start.
 
-    def __init__(self, name, zone, ip, folder):
+    Parameters
+    ==========
+
+    options : options of the interpreter
+    environment : variables of the process, besides those of this one
+    """
+
+    def __init__(self, name, zone, ip, folder, options=(), environment=None):
         self.name = name
         self.zone = zone
         self.ip = ip
         self.settings = folder / f"{name}.toml"
         self.log = folder / f"{name}.log"
+        self.options = options
+        self.environment = environment or {}
         self.child: asyncio.subprocess.Process | None = None
         self.lock = asyncio.Lock()
 
@@ -76,10 +85,12 @@
 
     async def start(self):
         """Start the process."""
-        environment = {**os.environ, "CAROBRAMP_NODE_FILE": str(self.settings)}
+        environment = {**os.environ, **self.environment}
+        environment["CAROBRAMP_NODE_FILE"] = str(self.settings)
         with self.log.open("ab") as log:
             self.child = await asyncio.create_subprocess_exec(
                 sys.executable,
+                *self.options,
                 "-m",
                 "carobramp_platform",
                 stdout=log,
@@ -116,10 +127,20 @@
     daemons : number of daemons in each zone
     relays : whether daemons reach the store, the workers and each other through
         relays
+    options, environment : those of each `Daemon`
     """
 
-    def __init__(self, platform: LeasedPlatform, daemons=2, relays=False):
+    def __init__(
+        self,
+        platform: LeasedPlatform,
+        daemons=2,
+        relays=False,
+        options=(),
+        environment=None,
+    ):
         self.platform = platform
+        self.options = options
+        self.environment = environment
         self.per_zone = daemons
         self.relays = relays
         self.store_relays: dict[str, Relay] = {}
@@ -132,7 +153,7 @@
 
     async def __aenter__(self):
         """Start the platform and the daemons, and wait until they are ready."""
-        self.session = aiohttp.ClientSession()
+        self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         await self.platform.start()
         if self.relays:
             for worker in self.platform.workers.values():
@@ -147,7 +168,8 @@
             for number in range(self.per_zone):
                 place = len(self.daemons)
                 ip = f"{subnet}.{place + 1}"
-                daemon = Daemon(f"{zone}-{number}", zone, ip, folder)
+                name = f"{zone}-{number}"
+                daemon = Daemon(name, zone, ip, folder, self.options, self.environment)
                 store = self.platform.store.address
                 if self.relays:
                     relay = await new_relay(store)
