--- a/packages/testing/carobramp_testing/bench/memory.py
+++ b/packages/testing/carobramp_testing/bench/memory.py
@@ -106,10 +106,8 @@
     with tempfile.TemporaryDirectory(prefix="carobramp-") as name:
         compile_packages(pathlib.Path(name))
         site = [path for path in sys.path if path.endswith("site-packages")]
-        # Nothing on the platform speaks TLS, see `deploy/system.toml`.
         environment = {
             "PYTHONPATH": ":".join([name, *site]),
-            "SSL_CERT_FILE": "/dev/null",
         }
         platform = LeasedPlatform(ZONES[: FLAGS.zones], FLAGS.workers)
         started = time.monotonic()
