--- a/packages/daemon/carobramp_daemon/instruments.py
+++ b/packages/daemon/carobramp_daemon/instruments.py
@@ -13,6 +13,7 @@
 from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import InMemoryMetricReader
+from opentelemetry.sdk.resources import Resource
 
 LABEL_NAME = "kind"
 
@@ -30,7 +31,13 @@
 
     def __init__(self, counters, histograms, gauges, counts, gauge_values):
         self.reader = InMemoryMetricReader()
-        provider = MeterProvider(metric_readers=[self.reader], shutdown_on_exit=False)
+        # The text exposition shows no resource. Detecting one runs threads, each with
+        # memory of its own.
+        provider = MeterProvider(
+            metric_readers=[self.reader],
+            resource=Resource.get_empty(),
+            shutdown_on_exit=False,
+        )
         meter = provider.get_meter("carobramp")
         for name, description in counters.items():
             read = functools.partial(_observe_counts, counts[name])
