--- a/packages/testing/carobramp_testing/bench/memory.py
+++ b/packages/testing/carobramp_testing/bench/memory.py
@@ -68,6 +68,8 @@
     print(f"{title:24}{'peak':>8}{'resident':>10}{'private':>9}")
     rows = []
     for daemon in deployment.daemons.values():
+        if daemon.child is None:
+            continue
         sizes = read_sizes(daemon.child.pid)
         rows.append([sizes[name] / KB_PER_MB for name in ("VmHWM", "VmRSS", "RssAnon")])
         owned = deployment.owner(daemon.zone) is daemon
