Let callers that return as told rank before new ones

The owner told rejected callers when to return and then treated them as any other: under a lasting overload the earlier caller found the next wave. A job that returns at its time now ranks with jobs of bands below their share, and is not rejected for jobs behind it. test_caller_that_returns_as_told_goes_first fails without the change (2 tests, 1 failed), passes with it.

--- a/packages/core/carobramp_core/cells/admission.py
+++ b/packages/core/carobramp_core/cells/admission.py
@@ -63,7 +63,9 @@
     """
     core_s = offer.job.tasks * tasks[0].core_s()
     band = owner.fair_share.band(offer.job.queue, core_s)
-    favoured = owner.fair_share.is_favoured(band)
+    favoured = owner.fair_share.is_favoured(band) or owner.return_times.returns_as_told(
+        offer.job.job_id, tasks[0].received_at
+    )
     for task in tasks:
         task.started = offer.committed or offer.job.job_id in owner.runs_by_job
         task.band, task.favoured = band, favoured
--- a/packages/core/carobramp_core/cells/placement.py
+++ b/packages/core/carobramp_core/cells/placement.py
@@ -39,7 +39,8 @@
     stalled_runs : number of runs of the task that were stopped as stalled
     started : whether another task of the job may have run, or this one before
     band : queue and size band that the job was admitted in, see `FairShare`
-    favoured : whether this band gets less than its share
+    favoured : whether this band gets less than its share, or the caller returns at the
+        time that it was told when the job was rejected
     admitted_at, estimated_wait_s : when the job was admitted to wait, and the forecast
         of the time until its last task starts; None if it was not forecast
     """
--- a/packages/core/carobramp_core/cells/tests/test_job_admission.py
+++ b/packages/core/carobramp_core/cells/tests/test_job_admission.py
@@ -165,3 +165,39 @@
         harness.submit("tight", 0.03)
         self.assertEqual(set(harness.started_at), {"overdue"})
         self.assertEqual(len(harness.started_at["overdue"]), 2)
+
+
+class ReturnTests(unittest.TestCase):
+    """Callers of rejected jobs that send them again."""
+
+    def test_caller_that_returns_as_told_goes_first(self):
+        """Guards against a caller that was sent away with a time and finds new ones.
+
+        The job returns when it was told to and starts before one that waits already.
+        """
+        harness = LoadHarness(1, spread_returns=True)
+        harness.submit("running", 0.3, 2)
+        harness.submit("late", 0.05)
+        harness.submit("tight", 0.05)
+        told_s = harness.returned.pop("tight").retry_after_s
+        harness.advance(told_s)
+        harness.submit("running-2", 0.05, 2)
+        harness.submit("waiting", 0.1)
+        harness.submit("waiting-2", 0.1)
+        harness.submit("tight", 0.1)
+        harness.advance(0.5)
+        first = harness.started_at["tight"][0]
+        self.assertLessEqual(first, harness.started_at["waiting"][0])
+        self.assertLess(first, harness.started_at.get("waiting-2", [harness.now])[0])
+
+    def test_caller_that_returns_early_gets_no_advantage(self):
+        """Guards against callers that are served first because they ask more often."""
+        harness = LoadHarness(1, spread_returns=True)
+        harness.submit("running", 0.3, 2)
+        harness.submit("late", 0.05)
+        harness.submit("tight", 0.05)
+        told_s = harness.returned.pop("tight").retry_after_s
+        self.assertFalse(
+            harness.owner.return_times.returns_as_told("tight", harness.now)
+        )
+        self.assertGreaterEqual(told_s, 1)
