--- a/packages/core/carobramp_core/cells/tests/test_entry.py
+++ b/packages/core/carobramp_core/cells/tests/test_entry.py
@@ -2,19 +2,18 @@
 
 import unittest
 
-from carobramp_core.cells.entry import (
+from carobramp_core.cells.entry import Entry
+from carobramp_core.cells.entry_events import (
     AnswerCaller,
     CallerGone,
     CancelRequested,
     DrainStarted,
-    Entry,
     EntryTick,
     JobReceived,
     LongPauseEnded,
     OwnerLinkClosed,
     OwnerLinkOpened,
     OwnerMessageReceived,
-    SendToOwner,
 )
 from carobramp_core.cells.messages import (
     CancelJob,
@@ -35,6 +34,7 @@
     TasksStarted,
     UpstreamNames,
 )
+from carobramp_core.cells.orders import SendToOwner
 from carobramp_core.cells.tests.support import LIMITS, job
 
 JOB_ID = "5c0e7a21d94b36f8"
--- a/packages/core/carobramp_core/cells/tests/test_evacuation.py
+++ b/packages/core/carobramp_core/cells/tests/test_evacuation.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from carobramp_core.cells.entry import JobReceived, OwnerLinkOpened
+from carobramp_core.cells.entry_events import JobReceived, OwnerLinkOpened
 from carobramp_core.cells.evacuation import Evacuations, EvacuationsRead
 from carobramp_core.cells.messages import (
     CapacityReport,
--- a/packages/core/carobramp_core/cells/tests/test_expected_end_routing.py
+++ b/packages/core/carobramp_core/cells/tests/test_expected_end_routing.py
@@ -4,8 +4,8 @@
 import random
 import unittest
 
-from carobramp_core.cells.entry import (
-    Entry,
+from carobramp_core.cells.entry import Entry
+from carobramp_core.cells.entry_events import (
     EntryTick,
     JobReceived,
     OwnerLinkClosed,
--- a/packages/core/carobramp_core/cells/tests/test_losses.py
+++ b/packages/core/carobramp_core/cells/tests/test_losses.py
@@ -8,14 +8,13 @@
     RETENTION_S,
     CrashRecords,
 )
-from carobramp_core.cells.entry import (
+from carobramp_core.cells.entry import Entry
+from carobramp_core.cells.entry_events import (
     AnswerCaller,
-    Entry,
     JobReceived,
     OwnerLinkClosed,
     OwnerLinkOpened,
     OwnerMessageReceived,
-    SendToOwner,
 )
 from carobramp_core.cells.messages import (
     CancelJob,
@@ -34,6 +33,7 @@
     ActiveRun,
     RunId,
     SendToAllEntries,
+    SendToOwner,
     UpstreamsListed,
     UpstreamState,
 )
--- a/packages/core/carobramp_core/cells/tests/test_overload_returns.py
+++ b/packages/core/carobramp_core/cells/tests/test_overload_returns.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from carobramp_core.cells.entry import (
-    Entry,
+from carobramp_core.cells.entry import Entry
+from carobramp_core.cells.entry_events import (
     JobReceived,
     OwnerLinkOpened,
     OwnerMessageReceived,
--- a/packages/daemon/carobramp_daemon/cells/entry.py
+++ b/packages/daemon/carobramp_daemon/cells/entry.py
@@ -5,13 +5,13 @@
 
 from mode import Service
 
-from carobramp_core.cells.entry import (
+from carobramp_core.cells.entry import Entry
+from carobramp_core.cells.entry_events import (
     AnswerCaller,
     CallerGone,
     CancelRequested,
     CountOffer,
     DrainStarted,
-    Entry,
     EntryEffect,
     EntryEvent,
     EntryTick,
@@ -20,7 +20,6 @@
     OwnerLinkClosed,
     OwnerLinkOpened,
     OwnerMessageReceived,
-    SendToOwner,
 )
 from carobramp_core.cells.evacuation import Evacuations, EvacuationsRead
 from carobramp_core.cells.messages import (
@@ -30,7 +29,7 @@
     Outcome,
     TasksReturned,
 )
-from carobramp_core.cells.orders import LogEvent
+from carobramp_core.cells.orders import LogEvent, SendToOwner
 from carobramp_core.cells.ports import Link
 from carobramp_daemon.cells.clock import now
 from carobramp_daemon.cells.supervised_tasks import contain_errors
--- a/packages/daemon/carobramp_daemon/tests/test_idle_cost.py
+++ b/packages/daemon/carobramp_daemon/tests/test_idle_cost.py
@@ -8,7 +8,8 @@
 import unittest
 from unittest import mock
 
-from carobramp_core.cells.entry import Entry, EntryTick
+from carobramp_core.cells.entry import Entry
+from carobramp_core.cells.entry_events import EntryTick
 from carobramp_core.cells.limits import CellLimits
 from carobramp_daemon.cells.entry import EntryService
 from carobramp_daemon.cells.links import HEARTBEAT_FRAME, RemoteLink
--- a/packages/testing/carobramp_testing/models/cell_parties.py
+++ b/packages/testing/carobramp_testing/models/cell_parties.py
@@ -1,13 +1,12 @@
 """Simulated links, owners and entries for the specification of cells."""
 
-from carobramp_core.cells.entry import (
+from carobramp_core.cells.entry import Entry
+from carobramp_core.cells.entry_events import (
     AnswerCaller,
-    Entry,
     EntryTick,
     OwnerLinkClosed,
     OwnerLinkOpened,
     OwnerMessageReceived,
-    SendToOwner,
 )
 from carobramp_core.cells.evacuation import EvacuationsRead
 from carobramp_core.cells.messages import UpstreamLosses
@@ -22,6 +21,7 @@
     PollOrder,
     SendToAllEntries,
     SendToEntry,
+    SendToOwner,
     StartAnswered,
     StartOrder,
     StopAnswered,
--- a/packages/testing/carobramp_testing/models/cell_world.py
+++ b/packages/testing/carobramp_testing/models/cell_world.py
@@ -12,7 +12,7 @@
 
 import math
 
-from carobramp_core.cells.entry import CallerGone, JobReceived
+from carobramp_core.cells.entry_events import CallerGone, JobReceived
 from carobramp_core.cells.evacuation import NO_EVACUATIONS, Evacuations
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import Interrupted, Refused
--- a/packages/testing/carobramp_testing/models/crashing_tasks.py
+++ b/packages/testing/carobramp_testing/models/crashing_tasks.py
@@ -8,7 +8,7 @@
 and is back after some seconds under the same name, in a new life.
 """
 
-from carobramp_core.cells.entry import JobReceived
+from carobramp_core.cells.entry_events import JobReceived
 from carobramp_core.cells.messages import Interrupted, Refused
 from carobramp_core.cells.orders import Accepted
 from carobramp_testing.models.cell_upstreams import JOB, SimulatedUpstream
