--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -9,13 +9,10 @@
 """
 
 import dataclasses
-import functools
 import math
 from collections.abc import Iterable
 
 from carobramp_core.cells.admission import admit_tasks
-from carobramp_core.cells.best_fit import choose_best_fit, services_in_scarcity
-from carobramp_core.cells.cell_evacuation import return_evacuated_tasks
 from carobramp_core.cells.crash_records import CrashRecords
 from carobramp_core.cells.evacuation import (
     NO_EVACUATIONS,
@@ -24,24 +21,20 @@
 )
 from carobramp_core.cells.event_handlers import on_event
 from carobramp_core.cells.fair_share import FairShare
-from carobramp_core.cells.job_order import rank_jobs
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import (
     CapacityReport,
     JobCancelled,
     Offer,
-    Placement,
     ReturnReason,
     ServiceRoom,
     TaskEnded,
     TaskResult,
     TasksReturned,
-    TasksStarted,
     UpstreamLoss,
     UpstreamNames,
 )
 from carobramp_core.cells.orders import (
-    LogEvent,
     OwnerEffect,
     OwnerEvent,
     PollOrder,
@@ -52,14 +45,11 @@
 )
 from carobramp_core.cells.placement import (
     WaitingTask,
-    choose_idle_upstream,
-    choose_upstream,
-    has_free_cpu,
-    urgency_key,
 )
 from carobramp_core.cells.resumed_offers import replace_resumed_offers
 from carobramp_core.cells.return_times import ReturnTimes
 from carobramp_core.cells.service_rooms import OfferedSizes, service_rooms
+from carobramp_core.cells.task_starts import place_tasks
 from carobramp_core.cells.upstreams import Run, RunPhase, Upstream
 from carobramp_core.run_time_estimator import RunTimeEstimator
 from carobramp_schema.generated.scheduling import SchedulingSettings
@@ -69,8 +59,6 @@
 # numbers. They wrap around after half an hour at 500 starts per second, when the tasks
 # with the first numbers have ended.
 RUNS_PER_TOKEN = 1 << 20
-# Number of waiting tasks that one pass tries to start; the others are less urgent.
-PLACED_PER_PASS = 64
 MS_PER_S = 1000
 
 
@@ -337,125 +325,8 @@
         return task
 
     def place_tasks(self, now, effects):
-        """Start waiting tasks, the most urgent first.
-
-        Every start passes here. In an evacuated zone the tasks are returned instead.
-        """
-        if not self.waiting or self.ownership_lost:
-            return
-        if not self.may_start():
-            if is_evacuated(self.cell, self.evacuations):
-                return_evacuated_tasks(self, now, effects)
-            return
-        candidates_by_service = self.upstreams_with_free_cpu(now)
-        if not any(candidates_by_service.values()):
-            return
-        top_speeds = {
-            service: functools.cache(functools.partial(self.top_speed, service, now))
-            for service in candidates_by_service
-        }
-        self.sort_waiting(now)
-        scarce = set()
-        if self.scheduling.job_admission:
-            scarce = services_in_scarcity(self.waiting, candidates_by_service)
-        still_waiting, started = [], {}
-        for position, task in enumerate(self.waiting):
-            service = task.job.service
-            candidates = candidates_by_service.get(service)
-            if not candidates or position >= PLACED_PER_PASS:
-                still_waiting.append(task)
-                continue
-            top_speed = top_speeds[service]
-            alone = self.crash_records.is_suspect(task.job.job_id, task.index)
-            if alone:
-                upstream, reserved = choose_idle_upstream(
-                    task, candidates, top_speed, now
-                )
-                candidates_by_service[service] = [
-                    u for u in candidates if u is not reserved
-                ]
-            else:
-                choose = choose_best_fit if service in scarce else choose_upstream
-                upstream = choose(task, candidates, top_speed, now)
-            if upstream is None:
-                still_waiting.append(task)
-                continue
-            run_id = self.start_task(task, upstream, now, effects)
-            if upstream.cold:
-                # One run at a time: the list was made before this start.
-                candidates_by_service[service] = [
-                    u for u in candidates_by_service[service] if u is not upstream
-                ]
-            if alone:
-                upstream.isolated_runs.add(run_id)
-            started.setdefault((task.entry, task.job.job_id), []).append(
-                (task, upstream, run_id)
-            )
-        self.waiting = still_waiting
-        for (entry, job_id), placed in started.items():
-            indexes = tuple(task.index for task, _, _ in placed)
-            placements = tuple(
-                Placement(task.index, run_id.run, upstream.name, upstream.born_ms)
-                for task, upstream, run_id in placed
-            )
-            message = TasksStarted(job_id, indexes, placements)
-            effects.append(SendToEntry(entry, message))
-            effects.append(self.placement_log_event(job_id, placed, now))
-
-    def sort_waiting(self, now):
-        """Sort the waiting tasks, the first to start first."""
-        if self.scheduling.job_admission:
-            jobs = rank_jobs(self.waiting, self.runs_by_job, self.upstreams, now)
-            self.waiting = [task for job in jobs for task in job.tasks]
-            return
-        self.waiting.sort(key=lambda task: urgency_key(task, now))
-
-    def upstreams_with_free_cpu(self, now):
-        """Return the upstreams that can take the smallest waiting task, by service.
-
-        With a long queue few upstreams have free cores; examining each of 58 for every
-        waiting task took more than one core of the owner.
-        """
-        smallest_cpu: dict[str, int] = {}
-        for task in self.waiting:
-            job = task.job
-            smallest_cpu[job.service] = min(
-                smallest_cpu.get(job.service, job.cpu), job.cpu
-            )
-        return {
-            service: [
-                u
-                for u in self.upstreams_by_service.get(service, ())
-                if has_free_cpu(u, cpu, now)
-            ]
-            for service, cpu in smallest_cpu.items()
-        }
-
-    def top_speed(self, service, now):
-        """Return the highest relative speed of the usable upstreams of a service."""
-        usable = (
-            u for u in self.upstreams_by_service.get(service, ()) if u.is_usable(now)
-        )
-        return max((u.relative_speed for u in usable), default=1.0)
-
-    def placement_log_event(self, job_id, placed, now) -> LogEvent:
-        """Return the log event of started tasks, with the inputs of the decision."""
-        first, _, run_id = placed[0]
-        runs = " ".join(f"{task.index}@{upstream.name}" for task, upstream, _ in placed)
-        fields = {
-            "job_id": job_id,
-            "runs": runs,
-            "first_run": run_id.run,
-            "age_ms": round((now - first.received_at) * MS_PER_S),
-            "expected_ms": round(first.expected_s * MS_PER_S),
-            "waiting": len(self.waiting),
-            "token": self.token,
-        }
-        is_last = all(task.job.job_id != job_id for task in self.waiting)
-        if first.estimated_wait_s is not None and is_last:
-            fields["estimated_wait_ms"] = round(first.estimated_wait_s * MS_PER_S)
-            fields["waited_ms"] = round((now - first.admitted_at) * MS_PER_S)
-        return LogEvent("tasks started", fields)
+        """Start waiting tasks, the most urgent first."""
+        place_tasks(self, now, effects)
 
     def handle_offer(self, entry, offer: Offer, now, effects):
         """Queue, start or return the offered tasks, or attach them to earlier runs."""
