Start one run at a time on an upstream that is probed

Cause: the list of candidates is made before a pass over the waiting tasks, so that an upstream that probes after a quarantine got several tasks in one pass; one that fails all took as many jobs with it. The forecast counted all its places.

--- a/packages/core/carobramp_core/cells/room_forecast.py
+++ b/packages/core/carobramp_core/cells/room_forecast.py
@@ -131,7 +131,8 @@
         if upstream.has_capacity_for(job) and upstream.is_usable(now):
             free_cpu = upstream.record.cpu - upstream.used_cpu
             free_memory_mb = upstream.record.memory_mb - upstream.used_memory_mb
-            count += task_count(free_cpu, free_memory_mb, job)
+            fitting = task_count(free_cpu, free_memory_mb, job)
+            count += min(1, fitting) if upstream.runs_one_at_a_time() else fitting
             if count >= enough:
                 return enough
     return count
@@ -143,6 +144,9 @@
     free_cpu = upstream.record.cpu - upstream.used_cpu
     free_memory_mb = upstream.record.memory_mb - upstream.used_memory_mb
     count = task_count(free_cpu, free_memory_mb, job)
+    if upstream.runs_one_at_a_time():
+        places.append((now, speed))
+        return
     if count:
         places.extend([(now, speed)] * count)
     ends = [
--- a/packages/core/carobramp_core/cells/task_starts.py
+++ b/packages/core/carobramp_core/cells/task_starts.py
@@ -65,8 +65,8 @@
             still_waiting.append(task)
             continue
         run_id = owner.start_task(task, upstream, now, effects)
-        if upstream.cold:
-            # One run at a time: the list was made before this start.
+        if upstream.runs_one_at_a_time():
+            # The list of candidates was made before this start.
             candidates_by_service[service] = [
                 u for u in candidates_by_service[service] if u is not upstream
             ]
--- a/packages/core/carobramp_core/cells/tests/test_owner.py
+++ b/packages/core/carobramp_core/cells/tests/test_owner.py
@@ -803,6 +803,17 @@
             harness.answer_poll(ended=[end], running=[])
         self.assertEqual(starts(harness.offer(job("f" * 16))), [])
 
+    def test_one_run_at_a_time_after_a_quarantine(self):
+        """Guards against an upstream that fails all and gets several tasks as probes.
+
+        Two tasks that wait in one pass both started on the upstream that was probed.
+        """
+        harness = OwnerHarness(upstream())
+        harness.answer_poll()
+        harness.owner.upstreams["i-1"].quarantine(harness.now)
+        harness.now += harness.owner.upstreams["i-1"].quarantine_s
+        self.assertEqual(len(starts(harness.offer(job(tasks=2)))), 1)
+
     def test_listed_run_of_a_pending_start_is_kept(self):
         """Guards against a second start when the listing precedes the answer."""
         harness = OwnerHarness(upstream())
--- a/packages/core/carobramp_core/cells/tests/test_room_forecast.py
+++ b/packages/core/carobramp_core/cells/tests/test_room_forecast.py
@@ -4,7 +4,7 @@
 
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.orders import RunId
-from carobramp_core.cells.room_forecast import forecast_room
+from carobramp_core.cells.room_forecast import count_startable, forecast_room
 from carobramp_core.cells.tests import support
 from carobramp_core.cells.upstreams import Run, Upstream
 
@@ -55,6 +55,15 @@
         self.assertEqual(forecast.startable, 0)
         self.assertAlmostEqual(forecast.wait_s(), 0.1)
 
+    def test_probed_upstream(self):
+        """Guards against places on an upstream that gets one run at a time."""
+        upstreams = [idle_upstream(cpu=32000)]
+        upstreams[0].probing = True
+        forecast = forecast_room(upstreams, support.job(cpu=8000), NOW)
+        self.assertEqual(forecast.startable, 1)
+        job = support.job(cpu=8000)
+        self.assertEqual(count_startable(upstreams, job, NOW, enough=4), 1)
+
     def test_no_upstream(self):
         """Guards against a finite wait where nothing can run the task."""
         forecast = forecast_room([], support.job(), NOW)
--- a/packages/core/carobramp_core/cells/upstreams.py
+++ b/packages/core/carobramp_core/cells/upstreams.py
@@ -252,9 +252,13 @@
             and not self.orphaned_run_count
             and not self.isolated_runs
             and self.lease_limit() - now >= self.limits.start_lease_min_s
-            and not ((self.probing or self.cold) and self.runs)
+            and not (self.runs and self.runs_one_at_a_time())
         )
 
+    def runs_one_at_a_time(self) -> bool:
+        """Return whether no run starts beside another: it is probed, or cold."""
+        return self.probing or self.cold
+
     def is_large_enough_for(self, job: Job) -> bool:
         """Return whether a task of a job fits into the whole capacity."""
         return (
