--- a/packages/core/carobramp_core/cells/cell_choice.py
+++ b/packages/core/carobramp_core/cells/cell_choice.py
@@ -188,9 +188,8 @@
     """Return where the last task ends first: at home, or at another cell.
 
     The other cell is picked at random, and without a home cell both are. The earliest
-    of all cells would be the same for every entry until the next reports: in trials
-    with 24 entries on 44 upstreams at 2.2 times their load that gave a value of 0.635,
-    and this rule 0.672.
+    of all cells would be the same for every entry until the next reports, and all
+    would send their jobs there.
     """
     home = [item for item in candidates if item.home]
     others = [item for item in candidates if not item.home]
--- a/packages/core/carobramp_core/cells/fair_share.py
+++ b/packages/core/carobramp_core/cells/fair_share.py
@@ -23,9 +23,8 @@
 # Part of all jobs' admitted share below which a band is favoured. The largest jobs have
 # to reach 0.8; their share rises only with the next jobs of the band.
 MIN_RELATIVE_SHARE = 0.95
-# Part of all jobs' admitted share above which a band yields to favoured ones. Limits of
-# 1.05, 1.15 and 1.3 served alike at twice the capacity (0.509, 0.502 and 0.507 of the
-# value, two replays each); the highest rejects the least by share.
+# Part of all jobs' admitted share above which a band yields to favoured ones. A lower
+# limit rejects more jobs by share and serves no more.
 MAX_RELATIVE_SHARE = 1.3
 # Admitted part of all offered work from which there is no overload.
 NO_OVERLOAD_SHARE = 0.95
--- a/packages/core/carobramp_core/cells/overload_returns.py
+++ b/packages/core/carobramp_core/cells/overload_returns.py
@@ -4,10 +4,10 @@
 ===========
 
 Answers load that exceeds the capacity of one cell while upstreams of another are idle:
-a single return ended the job, which lost 2.0 of the value of a played day. The owner
-of the next cell decides on its own state. That offer may wait, since an owner then
-takes or returns the job as a whole; tasks that start in part and are then given up
-would waste work, and the rejection could no longer say that the job has not run.
+a single return ended the job. The owner of the next cell decides on its own state.
+That offer may wait, since an owner then takes or returns the job as a whole; tasks that
+start in part and are then given up would waste work, and the rejection could no longer
+say that the job has not run.
 """
 
 from carobramp_core.cells.cell_choice import OfferKind, choose_earliest
