--- a/review/6/play.py
+++ b/review/6/play.py
@@ -7,7 +7,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "target/review-2"))
-from deployment import Deployment, job_body, run_case
+from deployment import Deployment, job_body, run_case, shown
 
 RESEND_S = 1.3
 # Time for which each daemon that gives the orders lives after its first one.
@@ -86,7 +86,7 @@
         end = min(first.ended_at or time.monotonic(), second.ended_at or time.monotonic())
         if begin < end:
             found.append(
-                f"{first.task} ran on {first.worker} and on {second.worker} at the same "
+                f"{shown(first.task)} ran on {first.worker} and on {second.worker} at the same "
                 f"time for {1000 * (end - begin):.0f} ms"
             )
     return found
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -316,11 +316,16 @@
         for run in sorted(self.runs, key=lambda item: item.started_at):
             ended = run.ended_at - self.zero if run.ended_at else float("nan")
             self.record(
-                f"run of {run.task} number {run.number} on {run.worker}: started "
+                f"run of {shown(run.task)} number {run.number} on {run.worker}: started "
                 f"{run.started_at - self.zero:.3f}, ended {ended:.3f} {run.how}"
             )
 
 
+def shown(task):
+    """Return the name of a task for the record, with slashes: dots look like addresses."""
+    return task.replace(".", "/")
+
+
 def job_body(tasks, run_ms, cpu=6800, **fields):
     """Return the body of a job of one step whose caller waits for the outcome."""
     spec = '{"cpu":%d,"run_ms":%d%s}' % (
