Log the runs that an owner adopts and the leases that it grants them

The new line names the upstream, the number of runs and the time that is left until their leases must end.

--- a/packages/core/carobramp_core/cells/event_handlers.py
+++ b/packages/core/carobramp_core/cells/event_handlers.py
@@ -5,6 +5,7 @@
 """
 
 import functools
+import math
 
 from carobramp_core.cells.abandonment import abandon_hopeless_jobs
 from carobramp_core.cells.admission import return_tasks, return_unsuitable_tasks
@@ -200,15 +201,25 @@
         return
     upstream.listing_ms = outcome.clock_ms
     active = {active_run.run_id: active_run for active_run in outcome.running}
-    for active_run in outcome.running:
-        if active_run.run_id not in upstream.runs:
-            adopt_run(active_run, upstream, owner, now, effects)
+    adopted = [item for item in outcome.running if item.run_id not in upstream.runs]
+    for active_run in adopted:
+        adopt_run(active_run, upstream, owner, now, effects)
+    if adopted:
+        lease_left_s = upstream.lease_limit() - now
+        fields = {"upstream": upstream.name, "runs": len(adopted)}
+        fields["lease_left_ms"] = round_ms(lease_left_s)
+        effects.append(LogEvent("runs of an earlier owner adopted", fields))
     for run in list(upstream.runs.values()):
         compare_with_listing(
             run, active.get(run.run_id), owner, event.sent_at, now, effects
         )
 
 
+def round_ms(seconds) -> int | None:
+    """Return a time in whole milliseconds, or None if it is infinite."""
+    return round(seconds * MS_PER_S) if math.isfinite(seconds) else None
+
+
 def record_end(end, upstream: Upstream, owner, now, effects):
     """Process one listed end of a run, unless an earlier listing contained it."""
     if end.number <= upstream.acknowledged:
