Keep the lease limits of earlier owners when a cell is taken over

Cause: the time by which runs of a lost entry, unclaimed runs and runs of a cancelled job must be over was state of the owner's process. Each successor counted it anew, from its adoption of the runs and from the last sign of life of the owner before it. So did one to which the owner handed the cell over as it stopped, and a deputy that wrote its claim to the store later.

Change: owners report the limits of their upstreams' leases to all daemons, before the first sign of life on each link, at once when an entry is lost, and with heartbeats. A successor keeps what the last owner has reported to it or to a peer that it asks before it claims.

--- a/packages/core/carobramp_core/cells/claims.py
+++ b/packages/core/carobramp_core/cells/claims.py
@@ -16,6 +16,7 @@
 from collections.abc import Iterable
 from typing import Protocol
 
+from carobramp_core.cells.lease_limits import LeaseLimits
 from carobramp_core.cells.orders import UpstreamRecord
 
 # Head start of the daemons in the cell's own zone.
@@ -60,6 +61,7 @@
     peers_hearing_owner : number of those that have one
     least_peer_silence_s : shortest time since one of those last heard the owner;
         infinite if none ever has
+    peer_lease_limits : lease limits of the last owner that they know
     uptime_s : time since this daemon started
     draining : whether this daemon is about to stop
     """
@@ -74,6 +76,7 @@
     uptime_s: float
     draining: bool = False
     least_peer_silence_s: float = math.inf
+    peer_lease_limits: LeaseLimits = LeaseLimits()
 
 
 def claim_delay_s(view: ClaimView) -> float:
--- a/packages/core/carobramp_core/cells/owner.py
+++ b/packages/core/carobramp_core/cells/owner.py
@@ -21,6 +21,7 @@
 )
 from carobramp_core.cells.event_handlers import on_event
 from carobramp_core.cells.fair_share import FairShare
+from carobramp_core.cells.lease_limits import LeaseLimits, Predecessor
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import (
     CapacityReport,
@@ -55,6 +56,7 @@
 from carobramp_schema.generated.scheduling import SchedulingSettings
 
 DEFAULT_RUN_MS = 200.0
+UNKNOWN_PREDECESSOR = Predecessor()
 # Run numbers that one fencing token provides; runs of a later owner always have higher
 # numbers. They wrap around after half an hour at 500 starts per second, when the tasks
 # with the first numbers have ended.
@@ -73,8 +75,7 @@
         carry a token derived from it, see `Upstream.fencing_token`
     taken_over : whether an earlier owner may have left runs behind
     losses : losses of upstreams that the daemon of this owner knows
-    predecessor_heard_at : latest time at which a daemon heard the earlier owner, with
-        which entries may have been lost; minus infinity if no daemon has heard it
+    predecessor : what the daemon of this owner knows of the earlier owner
     evacuations : evacuated zones; None while the process has not read the requests,
         and then nothing starts
     """
@@ -87,7 +88,7 @@
         now,
         taken_over=True,
         losses: Iterable[UpstreamLoss] = (),
-        predecessor_heard_at=-math.inf,
+        predecessor: Predecessor = UNKNOWN_PREDECESSOR,
         scheduling: SchedulingSettings | None = None,
         evacuations: Evacuations | None = NO_EVACUATIONS,
     ):
@@ -96,7 +97,7 @@
         self.limits = limits
         self.owned_since = now
         self.taken_over = taken_over
-        self.predecessor_heard_at = predecessor_heard_at
+        self.predecessor = predecessor
         self.scheduling = scheduling or SchedulingSettings()
         self.evacuations = evacuations
         self.start_count = 0
@@ -304,10 +305,35 @@
         """
         latest_end = min(
             now + self.limits.unclaimed_lease_s(),
-            self.predecessor_heard_at + self.limits.lease_end_after_takeover_s(),
+            self.latest_end_of_earlier_leases(run.upstream),
         )
         self.upstreams[run.upstream].limit_lease(run, latest_end)
 
+    def latest_end_of_earlier_leases(self, name) -> float:
+        """Return when leases beside unclaimed runs of earlier owners end at the latest.
+
+        The last of them may have adopted the runs itself; its limit still holds.
+        """
+        after_loss_s = self.limits.lease_end_after_takeover_s()
+        return min(
+            self.predecessor.heard_at + after_loss_s,
+            self.predecessor.lease_limits.latest_end(name),
+        )
+
+    def lease_limits(self) -> LeaseLimits:
+        """Return the limits that a successor of this owner has to keep.
+
+        An upstream that has not answered yet may have runs that this owner would adopt.
+        """
+        ends = {}
+        for name, upstream in self.upstreams.items():
+            end = upstream.lease_limit()
+            if self.taken_over and not upstream.answered:
+                end = self.latest_end_of_earlier_leases(name)
+            if end < math.inf:
+                ends[name] = end
+        return LeaseLimits(self.token, ends)
+
     def limit_leases_of_job(self, job_id, latest_end):
         """Limit the leases beside the runs of a job that its entry may give up."""
         for run in self.runs_by_job.get(job_id, ()):
--- a/packages/core/carobramp_core/cells/tests/support.py
+++ b/packages/core/carobramp_core/cells/tests/support.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from carobramp_core.cells.lease_limits import LeaseLimits, Predecessor
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import (
     CancelJob,
@@ -35,6 +36,7 @@
 from carobramp_core.cells.owner import CellOwner
 
 LIMITS = CellLimits()
+NO_LIMITS = LeaseLimits()
 SERVICE = "order-desk"
 
 
@@ -84,8 +86,9 @@
 class OwnerHarness:
     """Drives an owner and simulates its upstreams; `now` is the current time.
 
-    The earlier owner was last heard at `heard_at`, by default at the takeover. Its
-    methods return the effects of the event that they give to the owner.
+    The earlier owner was last heard at `heard_at`, by default at the takeover, and had
+    reported `lease_limits`. The methods return the effects of the event that they give
+    to the owner.
     """
 
     def __init__(
@@ -96,16 +99,18 @@
         losses=(),
         heard_at=None,
         scheduling=None,
+        lease_limits=NO_LIMITS,
+        token=3,
     ):
         self.now = now
         self.owner = CellOwner(
             "tilburg",
-            3,
+            token,
             LIMITS,
             now,
             taken_over,
             losses,
-            now if heard_at is None else heard_at,
+            Predecessor(now if heard_at is None else heard_at, lease_limits),
             scheduling,
         )
         self.clocks = {item.name: 5000 for item in upstreams}
--- a/packages/daemon/carobramp_daemon/cells/calls.py
+++ b/packages/daemon/carobramp_daemon/cells/calls.py
@@ -1,7 +1,16 @@
 """gRPC handlers for questions of other daemons about the owners of cells."""
 
+from carobramp_core.cells.lease_limits import (
+    Predecessor,
+    report_limits,
+    reported_limits,
+)
 from carobramp_daemon.cells.clock import now
-from carobramp_daemon.cells.frames import decode_upstream
+from carobramp_daemon.cells.frames import (
+    decode_lease_limits,
+    decode_upstream,
+    encode_lease_limits,
+)
 from carobramp_schema.generated import cells_grpc
 from carobramp_schema.generated import cells_pb2 as pb
 
@@ -34,6 +43,9 @@
             vm=coordinator.own_row.vm,
             candidate=candidate,
             owner_silence_ms=coordinator.owner_silence_ms(request.cell),
+            lease_limits=encode_lease_limits(
+                report_limits(coordinator.known_lease_limits(request.cell), now())
+            ),
         )
         await stream.send_message(answer)
 
@@ -47,5 +59,11 @@
             row, version = coordinator.rows.cell(request.cell)
             if row is not None and row.vm == request.vm:
                 state.known_upstreams = tuple(map(decode_upstream, request.upstreams))
-                taken = await coordinator.claim(state, row, version, now())
+                # The time that the request took is short beside the limits.
+                limits = reported_limits(
+                    decode_lease_limits(request.lease_limits), now()
+                )
+                coordinator.record_lease_limits(state, limits)
+                predecessor = Predecessor(now(), state.lease_limits)
+                taken = await coordinator.claim(state, row, version, predecessor)
         await stream.send_message(pb.TakeOverReply(taken=taken))
--- a/packages/daemon/carobramp_daemon/cells/claim_checks.py
+++ b/packages/daemon/carobramp_daemon/cells/claim_checks.py
@@ -11,8 +11,11 @@
 from grpclib.client import Channel
 
 from carobramp_core.cells.claims import ClaimView, choose_probed_upstreams
+from carobramp_core.cells.lease_limits import LeaseLimits, reported_limits
 from carobramp_core.cells.orders import NoAnswer, PollOrder, UpstreamRecord
 from carobramp_core.cells.ports import UpstreamOrders
+from carobramp_daemon.cells.clock import now
+from carobramp_daemon.cells.frames import decode_lease_limits
 from carobramp_daemon.cells.rows import CellRow, VmRow
 from carobramp_schema.generated import cells_grpc
 from carobramp_schema.generated import cells_pb2 as pb
@@ -63,8 +66,13 @@
         )
         asked = others[:MAX_ASKED_PEERS]
         question = pb.OwnerQuestion(cell=cell, vm=owner_vm)
+        asked_at = now()
         replies = await asyncio.gather(*(self.ask_peer(vm, question) for vm in asked))
         answers = [reply for reply in replies if reply is not None]
+        peer_limits = LeaseLimits()
+        for answer in answers:
+            report = decode_lease_limits(answer.lease_limits)
+            peer_limits = peer_limits.merge(reported_limits(report, asked_at))
         sort_keys = {vm.vm: vm.candidate_sort_key() for vm in asked}
         preceding = [
             answer
@@ -81,6 +89,7 @@
                 (a.owner_silence_ms / 1000 for a in answers if a.owner_silence_ms),
                 default=math.inf,
             ),
+            peer_lease_limits=peer_limits,
         )
 
     async def ask_peer(
--- a/packages/daemon/carobramp_daemon/cells/coordinator.py
+++ b/packages/daemon/carobramp_daemon/cells/coordinator.py
@@ -19,6 +19,11 @@
     should_reclaim,
 )
 from carobramp_core.cells.evacuation import Evacuations, EvacuationsRead, newest
+from carobramp_core.cells.lease_limits import (
+    LeaseLimits,
+    Predecessor,
+    reported_limits,
+)
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.owner import CellOwner
 from carobramp_core.cells.ports import CoordinationTable, UpstreamList, UpstreamOrders
@@ -69,6 +74,7 @@
     known_upstreams : upstreams as last read or received; a new owner starts with them
         without waiting for the store
     deputy : deputy named by the last owner
+    lease_limits : lease limits that the last owner has reported
     probe_rounds : number of times that upstreams of the cell were probed
     """
 
@@ -78,6 +84,7 @@
     link: RemoteLink | None = None
     known_upstreams: tuple = ()
     deputy: Deputy | None = None
+    lease_limits: LeaseLimits = LeaseLimits()
     probe_rounds: int = 0
 
 
@@ -178,6 +185,9 @@
                 self.entry_service,
                 self.limits,
                 lambda deputy: self.record_deputy(state, deputy),
+                lambda report, sent_at: self.record_lease_limits(
+                    state, reported_limits(report, sent_at)
+                ),
             )
             await self.run_link(state, link, target)
         await self.take_over_if_needed(state)
@@ -221,6 +231,18 @@
                 upstreams=len(deputy.upstreams),
             )
 
+    def record_lease_limits(self, state: CellState, limits: LeaseLimits):
+        """Record the lease limits of the last owner of a cell."""
+        if limits.token >= state.lease_limits.token:
+            state.lease_limits = limits
+
+    def known_lease_limits(self, cell) -> LeaseLimits:
+        """Return the lease limits of the last known owner of a cell, or its own."""
+        if cell in self.owned:
+            return self.owned[cell].owner.lease_limits()
+        state = self.cells.get(cell)
+        return state.lease_limits if state else LeaseLimits()
+
     async def run_link(
         self, state: CellState, link: RemoteLink, target: CellRow | Deputy
     ):
@@ -355,7 +377,9 @@
             rank=view.rank,
         )
         heard_at = max(self.owner_heard_at(state), now() - view.least_peer_silence_s)
-        await self.claim(state, row, version, heard_at)
+        lease_limits = state.lease_limits.merge(view.peer_lease_limits)
+        predecessor = Predecessor(heard_at, lease_limits)
+        await self.claim(state, row, version, predecessor)
 
     def owner_heard_at(self, state: CellState) -> float:
         """Return when this daemon last heard an owner of a cell, at the latest.
@@ -392,18 +416,21 @@
         )
 
     async def claim(
-        self, state: CellState, row: CellRow | None, version, owner_heard_at
+        self,
+        state: CellState,
+        row: CellRow | None,
+        version,
+        predecessor: Predecessor,
     ) -> bool:
         """Claim a cell; return whether this daemon is its owner now.
 
         The claim fails if another daemon has written the row after `version`. A deputy
-        takes the cell over without the store if that is unavailable. `owner_heard_at`
-        is the time at which a daemon last heard the earlier owner.
+        takes the cell over without the store if that is unavailable.
         """
         token = claim_token(row.token if row else 0)
         result = await self.write_claim(state, token, version)
         if isinstance(result, Committed):
-            self.start_owning(state, token, row is not None, owner_heard_at)
+            self.start_owning(state, token, row is not None, predecessor)
             return True
         self.event_log.info("cell claim failed", cell=state.name, result=repr(result))
         if not isinstance(result, Unavailable) or not self.is_deputy(state):
@@ -412,7 +439,7 @@
         self.event_log.info(
             "taking over cell as deputy", cell=state.name, token=state.deputy.token
         )
-        self.start_owning(state, state.deputy.token, True, owner_heard_at)
+        self.start_owning(state, state.deputy.token, True, predecessor)
         return True
 
     async def write_claim(self, state: CellState, token, version):
@@ -424,7 +451,9 @@
             return Unavailable("the last call of the store failed", False)
         return await self.rows.claim(state.name, token, version)
 
-    def start_owning(self, state: CellState, token, taken_over, owner_heard_at):
+    def start_owning(
+        self, state: CellState, token, taken_over, predecessor: Predecessor
+    ):
         """Start the owner service of a cell and link the entry of this daemon to it."""
         losses = self.entry_service.entry.crash_records.all_losses()
         owner = CellOwner(
@@ -434,7 +463,7 @@
             now(),
             taken_over,
             losses,
-            owner_heard_at,
+            predecessor,
             self.entry_service.entry.scheduling,
             self.known_evacuations(),
         )
@@ -490,6 +519,7 @@
         del self.owned[cell]
         self.cells[cell].owner_heard_at = self.cells[cell].owner_silent_since = now()
         self.cells[cell].deputy = service.deputy
+        self.cells[cell].lease_limits = service.owner.lease_limits()
         service.owner.ownership_lost = True
         # What an entry has told this owner, the next owner of this daemon knows.
         self.entry_service.update_evacuations(service.owner.evacuations)
@@ -553,7 +583,8 @@
             known_upstreams = tuple(u.record for u in service.owner.upstreams.values())
             self.stop_owning(service)
             self.cells[cell].known_upstreams = known_upstreams
-            self.start_owning(self.cells[cell], token, True, now())
+            predecessor = Predecessor(now(), self.cells[cell].lease_limits)
+            self.start_owning(self.cells[cell], token, True, predecessor)
 
     @Service.task
     async def maintain_ownership(self):
--- a/packages/daemon/carobramp_daemon/cells/frames.py
+++ b/packages/daemon/carobramp_daemon/cells/frames.py
@@ -2,10 +2,12 @@
 
 import dataclasses
 import functools
+import math
 from collections.abc import Callable
 
 from carobramp_core.cells.claims import Deputy
 from carobramp_core.cells.evacuation import Evacuations
+from carobramp_core.cells.lease_limits import LeaseLimitsReport
 from carobramp_core.cells.messages import (
     CancelJob,
     CancelRequest,
@@ -164,6 +166,32 @@
     return pb.Frame(deputy=deputy)
 
 
+@encode.register
+def _(message: LeaseLimitsReport):
+    return pb.Frame(lease_limits=encode_lease_limits(message))
+
+
+def encode_lease_limits(report: LeaseLimitsReport) -> pb.LeaseLimits:
+    """Return the protobuf message that reports lease limits."""
+    limits = [
+        pb.LeaseLimit(upstream=name, remaining_s=remaining_s)
+        for name, remaining_s in report.remaining_s
+    ]
+    return pb.LeaseLimits(token=report.token, limits=limits)
+
+
+def decode_lease_limits(limits: pb.LeaseLimits) -> LeaseLimitsReport:
+    """Return the report of lease limits in a message; an invalid time has passed."""
+    remaining = ((limit.upstream, limit.remaining_s) for limit in limits.limits)
+    return LeaseLimitsReport(
+        limits.token,
+        tuple(
+            (name, remaining_s if math.isfinite(remaining_s) else 0.0)
+            for name, remaining_s in remaining
+        ),
+    )
+
+
 def encode_loss(loss: UpstreamLoss) -> pb.UpstreamLoss:
     """Return the protobuf message that describes the loss of an upstream."""
     return pb.UpstreamLoss(
@@ -288,6 +316,7 @@
     "room": decode_capacity_report,
     "deputy": decode_deputy,
     "evacuations": lambda body: Evacuations(body.version, frozenset(body.zones)),
+    "lease_limits": decode_lease_limits,
     "members": lambda members: UpstreamNames(tuple(members.names)),
     "upstream_losses": lambda body: UpstreamLosses(decode_losses(body.losses)),
 }
--- a/packages/daemon/carobramp_daemon/cells/handover.py
+++ b/packages/daemon/carobramp_daemon/cells/handover.py
@@ -4,8 +4,10 @@
 
 from grpclib.client import Channel
 
+from carobramp_core.cells.lease_limits import report_limits
 from carobramp_daemon.cells.claim_checks import CALL_ERRORS
-from carobramp_daemon.cells.frames import encode_upstream
+from carobramp_daemon.cells.clock import now
+from carobramp_daemon.cells.frames import encode_lease_limits, encode_upstream
 from carobramp_daemon.cells.owner import OwnerService
 from carobramp_daemon.cells.rows import VmRow
 from carobramp_schema.generated import cells_grpc
@@ -59,6 +61,9 @@
         cell=service.owner.cell,
         vm=own_row.vm,
         upstreams=map(encode_upstream, upstreams),
+        lease_limits=encode_lease_limits(
+            report_limits(service.owner.lease_limits(), now())
+        ),
     )
     try:
         async with asyncio.timeout(TAKEOVER_TIMEOUT_S):
--- a/packages/daemon/carobramp_daemon/cells/links.py
+++ b/packages/daemon/carobramp_daemon/cells/links.py
@@ -23,6 +23,7 @@
 from google.protobuf.message import DecodeError
 
 from carobramp_core.cells.claims import Deputy
+from carobramp_core.cells.lease_limits import LeaseLimitsReport
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import CapacityReport
 from carobramp_daemon.cells import frames
@@ -194,6 +195,8 @@
     ==========
 
     on_deputy : called with the deputy that the owner has named
+    on_limits : called with lease limits that the owner has reported, and a time at
+        which it had not sent them yet
 
     Attributes
     ==========
@@ -201,13 +204,23 @@
     opened : whether the owner has answered, with its first capacity report
     """
 
-    def __init__(self, cell, vm, address, entry_service, limits: CellLimits, on_deputy):
+    def __init__(
+        self,
+        cell,
+        vm,
+        address,
+        entry_service,
+        limits: CellLimits,
+        on_deputy,
+        on_limits,
+    ):
         self.cell = cell
         self.vm = vm
         self.address = address
         self.entry_service = entry_service
         self.limits = limits
         self.on_deputy = on_deputy
+        self.on_limits = on_limits
         self.link: FrameLink | None = None
         self.opened = False
         self.closed = asyncio.get_running_loop().create_future()
@@ -249,7 +262,7 @@
         self.link.close_if_stale()
 
     def on_frame(self, link: FrameLink, frame: pb.Frame):
-        """Pass a message of the owner to the entry, or its deputy to `on_deputy`."""
+        """Pass a message of the owner to the entry, or to the callback for its kind."""
         message = frames.decode(frame)
         if isinstance(message, CapacityReport):
             # An owner's heartbeats are capacity reports. They are answered at once, so
@@ -260,6 +273,8 @@
             self.entry_service.owner_link_opened(self.cell, message.token, link)
         if isinstance(message, Deputy):
             self.on_deputy(message)
+        elif isinstance(message, LeaseLimitsReport):
+            self.on_limits(message, link.last_echo_at)
         elif message is not None:
             self.entry_service.handle_message(self.cell, link, message)
 
--- a/packages/daemon/carobramp_daemon/cells/owner.py
+++ b/packages/daemon/carobramp_daemon/cells/owner.py
@@ -7,6 +7,7 @@
 from mode import Service
 
 from carobramp_core.cells.claims import Deputy, choose_deputy, deputy_token
+from carobramp_core.cells.lease_limits import LeaseLimits, report_limits
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import UpstreamLosses
 from carobramp_core.cells.orders import (
@@ -84,6 +85,8 @@
         self.deputy: Deputy | None = None
         # Highest token that this owner has granted to a deputy, at first its own.
         self.granted_token = owner.token
+        # Lease limits as last sent to all entries.
+        self.sent_limits = LeaseLimits(owner.token)
         # Links to and from the entry of this process.
         self.local_links: tuple = ()
         self.dispatched_at = now()
@@ -98,6 +101,9 @@
     def add_entry_link(self, entry, link):
         """Register a link and send the state of the cell over it."""
         self.links[entry] = link
+        if is_remote(link):
+            # Before the report that makes the peer count this owner as alive.
+            link.send(report_limits(self.owner.lease_limits(), now()))
         link.send(self.owner.capacity_report(now()))
         link.send(self.owner.upstream_names())
         losses = self.owner.crash_records.all_losses()
@@ -201,6 +207,9 @@
         for effect in effects:
             with contain_errors(self, type(effect).__name__):
                 self.carry_out(effect)
+        if isinstance(event, EntryLinksClosed):
+            # This owner may be lost with the entries.
+            self.send_changed_limits()
 
     def carry_out(self, effect: OwnerEffect):
         """Carry out one effect of the owner; calls run in tasks of their own."""
@@ -348,8 +357,20 @@
         while not self.should_stop:
             await asyncio.sleep(self.limits.heartbeat_s)
             with contain_errors(self, "send_heartbeats"):
+                self.send_changed_limits()
                 self.send_capacity_report()
 
+    def send_changed_limits(self):
+        """Send the lease limits to all remote entries if they have changed."""
+        limits = self.owner.lease_limits()
+        if limits == self.sent_limits:
+            return
+        self.sent_limits = limits
+        report = report_limits(limits, now())
+        for link in list(self.links.values()):
+            if is_remote(link):
+                link.send(report)
+
     def send_capacity_report(self):
         """Send the present capacity report to all entries."""
         report = self.owner.capacity_report(now())
--- a/packages/daemon/carobramp_daemon/tests/test_claim_checks.py
+++ b/packages/daemon/carobramp_daemon/tests/test_claim_checks.py
@@ -6,9 +6,12 @@
 from unittest import mock
 
 from carobramp_core.cells.claims import ClaimView
+from carobramp_core.cells.lease_limits import LeaseLimits, LeaseLimitsReport
+from carobramp_daemon.cells import claim_checks
 from carobramp_daemon.cells import coordinator as coordinator_module
 from carobramp_daemon.cells.claim_checks import ClaimChecks
 from carobramp_daemon.cells.coordinator import CellCoordinator, CellState
+from carobramp_daemon.cells.frames import encode_lease_limits
 from carobramp_daemon.cells.rows import VmRow
 from carobramp_schema.generated import cells_pb2 as pb
 
@@ -44,6 +47,28 @@
         view = await self.survey(0, 700, 450)
         self.assertEqual(view.least_peer_silence_s, 0.45)
 
+    async def test_peers_know_the_limits_of_the_last_owner(self):
+        """Guards against runs that a restarted daemon prolongs.
+
+        A peer that has not heard the last owner tells the limits of the one before.
+        """
+        checks = ClaimChecks(vm_row(0), mock.Mock())
+        reports = (
+            LeaseLimitsReport(64, (("i-1", 9.0),)),
+            LeaseLimitsReport(128, (("i-2", 0.4),)),
+            LeaseLimitsReport(128, (("i-2", 0.3),)),
+        )
+        checks.ask_peer = mock.AsyncMock(
+            side_effect=[
+                pb.OwnerAnswer(lease_limits=encode_lease_limits(report))
+                for report in reports
+            ]
+        )
+        peers = [vm_row(number) for number in (1, 2, 3)]
+        with mock.patch.object(claim_checks, "now", lambda: 100.0):
+            view = await checks.survey_peers(CELL, None, peers, VIEW)
+        self.assertEqual(view.peer_lease_limits, LeaseLimits(128, {"i-2": 100.3}))
+
     async def test_silence_that_no_peer_knows(self):
         """Guards against taking an unknown silence for a short one."""
         view = await self.survey(0, 0)
--- a/packages/daemon/carobramp_daemon/tests/test_evacuations.py
+++ b/packages/daemon/carobramp_daemon/tests/test_evacuations.py
@@ -3,18 +3,12 @@
 import unittest
 from unittest import mock
 
-from carobramp_core.cells.entry import Entry
 from carobramp_core.cells.evacuation import NO_EVACUATIONS, Evacuations
-from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import CapacityReport, ReturnReason, TasksReturned
-from carobramp_core.platform import Committed
 from carobramp_daemon.cells import frames
 from carobramp_daemon.cells.calls import CellRpcHandlers
-from carobramp_daemon.cells.coordinator import CellCoordinator
-from carobramp_daemon.cells.entry import EntryService
-from carobramp_daemon.cells.rows import CellRow, VmRow
-from carobramp_daemon.logs import Log
-from carobramp_daemon.metrics import Metrics
+from carobramp_daemon.cells.rows import CellRow
+from carobramp_daemon.tests.coordinator_support import coordinator
 from carobramp_schema.generated import cells_pb2 as pb
 
 CELL = "tilburg"
@@ -46,31 +40,10 @@
 
     def setUp(self):
         """Build a daemon whose store commits every claim."""
-        entry = Entry(CELL, CellLimits(), evacuations=None)
-        own_row = VmRow("vm-1", CELL, "127.0.0.1", 7720, 7721, "a")
-        self.entry_service = EntryService(entry, Metrics(), Log("entry", "vm-1"))
-        self.table = mock.Mock(
-            is_loaded=lambda: True, rows=dict, transact=mock.AsyncMock()
-        )
-        self.table.transact.return_value = Committed()
-        self.coordinator = CellCoordinator(
-            own_row,
-            (CELL,),
-            self.table,
-            mock.Mock(read_upstreams=mock.AsyncMock(return_value=())),
-            mock.Mock(),
-            self.entry_service,
-            CellLimits(),
-            Metrics(),
-            lambda component: Log(component, "vm-1"),
-        )
+        self.coordinator = coordinator(self, evacuations=None)
+        self.entry_service = self.coordinator.entry_service
+        self.table = self.coordinator.table
         self.state = self.coordinator.cells[CELL]
-        self.state.owner_silent_since -= 60.0
-        self.coordinator.started_at -= 60.0
-        for name in ("start_owner", "stop_owner"):
-            patcher = mock.patch.object(self.coordinator, name, mock.AsyncMock())
-            patcher.start()
-            self.addCleanup(patcher.stop)
 
     async def owner_after_takeover(self):
         """Let the daemon take over the cell if it may; return its owner, if any."""
--- a/packages/daemon/carobramp_daemon/tests/test_idle_cost.py
+++ b/packages/daemon/carobramp_daemon/tests/test_idle_cost.py
@@ -50,7 +50,9 @@
 
         server = await loop.create_server(Owner, "127.0.0.1", 0)
         address = server.sockets[0].getsockname()
-        link = RemoteLink("tilburg", "front-1", address, mock.Mock(), LIMITS, None)
+        link = RemoteLink(
+            "tilburg", "front-1", address, mock.Mock(), LIMITS, None, None
+        )
         serving = asyncio.create_task(link.run())
         while not received:
             await asyncio.sleep(0.01)
--- a/packages/testing/carobramp_testing/models/cell_parties.py
+++ b/packages/testing/carobramp_testing/models/cell_parties.py
@@ -90,12 +90,15 @@
         self.upstreams = {u.name: u for u in world.upstreams if u.cell == cell}
         self.owner = world.new_owner(cell, token, taken_over)
         self.links: dict[str, Link] = {}
+        # What daemons know of this owner's lease limits when it is lost.
+        self.reported_limits = self.owner.lease_limits()
         self.late_orders = 0
         # Orders whose answer never comes, with the time at which that is noticed.
         self.unanswered: list = []
         self.dispatch(
             UpstreamsListed(tuple(u.listed() for u in self.upstreams.values()))
         )
+        self.reported_limits = self.owner.lease_limits()
 
     def connect(self, link):
         """Take the link of an entry."""
@@ -124,6 +127,7 @@
             if hold is not None:
                 self.order(hold)
         self.dispatch(OwnerTick())
+        self.reported_limits = self.owner.lease_limits()
 
     def order(self, order):
         """Send an order to its upstream."""
--- a/packages/testing/carobramp_testing/models/cell_world.py
+++ b/packages/testing/carobramp_testing/models/cell_world.py
@@ -14,6 +14,7 @@
 
 from carobramp_core.cells.entry_events import CallerGone, JobReceived
 from carobramp_core.cells.evacuation import NO_EVACUATIONS, Evacuations
+from carobramp_core.cells.lease_limits import LeaseLimits, Predecessor
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import Interrupted, Refused
 from carobramp_core.cells.owner import CellOwner
@@ -24,6 +25,8 @@
 STEPS = 45
 TAKEOVER_S = 0.6
 TOKENS = 64
+# Shorter than the time in which an owner stops the runs that nobody claims.
+OWNER_LIFE_S = 0.25
 # Time from the request of an evacuation after which no start may be ordered: an entry
 # reads the request in its next step, and the owner hears of it in the one after.
 EVACUATION_BOUND_S = 0.25
@@ -52,6 +55,9 @@
         self.lost_stops_cell: str | None = None
         self.later: list = []
         self.resend_at: list[float] = []
+        # Time for which each owner of cell a lives once its successors are short-lived.
+        self.owner_life_s = math.inf
+        self.rows: dict[str, OwnerParty] = {}
         self.owners = [OwnerParty(self, cell, TOKENS, False) for cell in ("a", "b")]
         self.rows = {owner.cell: owner for owner in self.owners}
         # The second entry is of the other zone, and offers its tasks there first.
@@ -82,9 +88,15 @@
             self.limits,
             self.now,
             taken_over,
-            predecessor_heard_at=self.predecessor_heard_at(),
+            predecessor=Predecessor(
+                self.predecessor_heard_at(), self.reported_limits()
+            ),
         )
 
+    def reported_limits(self) -> LeaseLimits:
+        """Return the lease limits that the last owner of cell a has reported."""
+        return self.rows["a"].reported_limits if self.rows else LeaseLimits()
+
     def predecessor_heard_at(self) -> float:
         """Return when the owner that is replaced was last heard."""
         return self.now if self.silent_since is None else self.silent_since
@@ -182,8 +194,24 @@
             self.silent_since = None
         elif self.silent_since is None:
             self.silent_since = self.now
-        elif self.now - self.silent_since >= TAKEOVER_S:
+        elif self.now - self.silent_since >= self.takeover_s():
             self.take_over()
+        self.end_short_lived_owner()
+
+    def takeover_s(self) -> float:
+        """Return the time after which a lost owner is replaced.
+
+        A killed one is noticed at once, as its connections break; that is the adverse
+        case once successors are short-lived.
+        """
+        return TAKEOVER_S if self.owner_life_s == math.inf else 0.0
+
+    def end_short_lived_owner(self):
+        """Kill an owner of cell a that has taken it over and lived its time."""
+        present = self.rows["a"]
+        lived_s = self.now - present.owner.owned_since
+        if present.owner.taken_over and lived_s >= self.owner_life_s:
+            present.end()
 
     # Faults
 
@@ -205,6 +233,15 @@
         """The owner of cell a dies."""
         self.rows["a"].end()
 
+    def kill_daemon(self):
+        """The owner of cell a and the first entry, of one daemon, die."""
+        self.kill_owner()
+        self.kill_entry()
+
+    def shorten_lives(self):
+        """From now on each daemon that takes cell a over dies after a short time."""
+        self.owner_life_s = OWNER_LIFE_S
+
     def freeze_owner(self):
         """The owner of cell a stands still and wakes before it is replaced."""
         self.rows["a"].frozen_until = self.now + 0.55
--- a/packages/testing/carobramp_testing/models/cells.py
+++ b/packages/testing/carobramp_testing/models/cells.py
@@ -16,6 +16,7 @@
 import sys
 from typing import NamedTuple
 
+from carobramp_core.cells.lease_limits import LeaseLimits
 from carobramp_core.cells.limits import CellLimits
 from carobramp_core.cells.messages import Interrupted, Refused
 from carobramp_core.cells.orders import NoAnswer, Rejected, RejectReason, StartOrder
@@ -40,6 +41,8 @@
     "evacuate",
     "lose_stops",
     "restart_upstream",
+    "kill_daemon",
+    "shorten_lives",
 )
 # As the job comes, and while it runs.
 AT_STEPS = (1, 2, 4, 8)
@@ -61,6 +64,7 @@
 UNKNOWN_FATE = "unanswered start is settled"
 LOST_ENTRY = "runs of a lost entry are stopped, or their leases end"
 LEASE_LIMIT = "leases beside runs of a lost entry end"
+INHERITED = "lease limits are passed on to the next owner"
 COMMITTED = "no refusal after a start"
 GATE = "owners start nothing in an evacuated zone"
 SAFEGUARDS = {
@@ -71,6 +75,7 @@
     UNKNOWN_FATE: ONE_RUN,
     LOST_ENTRY: ONE_RUN,
     LEASE_LIMIT: ONE_RUN,
+    INHERITED: ONE_RUN,
     COMMITTED: NOT_RUN,
     GATE: NO_LATE_START,
 }
@@ -151,6 +156,10 @@
             return False
         return super().silent(link, end)
 
+    def reported_limits(self):
+        """Return the lease limits that the last owner of cell a has reported."""
+        return LeaseLimits() if self.without == INHERITED else super().reported_limits()
+
     def read_outcome(self, order, outcome):
         """Return what an owner makes of the outcome of an order."""
         lost = isinstance(order, StartOrder) and isinstance(outcome, NoAnswer)
--- a/packages/testing/carobramp_testing/models/tests/test_cells.py
+++ b/packages/testing/carobramp_testing/models/tests/test_cells.py
@@ -5,6 +5,7 @@
 from carobramp_testing.models.cells import (
     FENCE,
     GATE,
+    INHERITED,
     KINDS,
     LEASE_LIMIT,
     PROMISES,
@@ -22,6 +23,7 @@
     GATE: ((1, "evacuate"), (1, "cut_upstream")),
     FENCE: ((1, "late_orders"), (2, "kill_owner")),
     LEASE_LIMIT: ((2, "kill_entry"), (2, "lose_stops")),
+    INHERITED: ((1, "shorten_lives"), (2, "kill_daemon")),
     SETTLED: ((4, "take_over"), (4, "cut_upstream")),
 }
 
--- a/packages/testing/carobramp_testing/standins/leased/worker.py
+++ b/packages/testing/carobramp_testing/standins/leased/worker.py
@@ -46,12 +46,14 @@
     hang : runs never end
     silent : orders are neither answered nor carried out
     late_s : orders get no answer and are carried out after this time
+    lose_orders : start and stop orders are neither answered nor carried out
     """
 
     fail: bool = False
     hang: bool = False
     silent: bool = False
     late_s: float = 0.0
+    lose_orders: bool = False
 
 
 class Worker:
@@ -209,10 +211,13 @@
             self.finished.append([self.number, task, run.number, how, ""])
             self.ended.set()
 
-    async def enter(self, request):
-        """Carry out the faults; return the body, or None to answer nothing."""
+    async def enter(self, request, order=False):
+        """Carry out the faults; return the body, and a refusal or None.
+
+        `order` tells a start or stop order from a poll.
+        """
         body = await request.json()
-        if self.faults.silent:
+        if self.faults.silent or (order and self.faults.lose_orders):
             await asyncio.Event().wait()
         if self.faults.late_s:
             await asyncio.sleep(self.faults.late_s)
@@ -234,7 +239,7 @@
 
     async def on_start(self, request):
         """Start a run."""
-        body, refusal = await self.enter(request)
+        body, refusal = await self.enter(request, order=True)
         if refusal:
             return refusal
         if body.get("deadline_ms", 0) <= self.clock_ms():
@@ -272,7 +277,7 @@
 
     async def on_stop(self, request):
         """Stop a run, or refuse it from now on."""
-        body, refusal = await self.enter(request)
+        body, refusal = await self.enter(request, order=True)
         if refusal:
             return refusal
         task, number = body["task"], body["run"]
