Keep requests of other processes out of the counts of a scripted upstream

test_upstreams failed beside soaks at load 14: test_answers_without_a_usable_result once in a run of all tests, test_stray_answer_is_counted ("2 != 1") in 1 of 96 runs of the module. With the requests in the message of the assertion, 3 of about 90 further runs failed, and each time the client under test had sent one POST; the other requests were polls of upstreams and reads of the store, by daemons of other processes whose stand-ins had ended and whose port numbers the system had assigned again.

The scripted upstream now rejects and does not count what the client of these tests cannot send. The check of one request for one task is as strict as before, and shows the requests when it fails.

--- a/packages/daemon/carobramp_daemon/tests/test_upstreams.py
+++ b/packages/daemon/carobramp_daemon/tests/test_upstreams.py
@@ -21,6 +21,7 @@
 from carobramp_testing.builders import vm_settings
 
 TIMEOUT_S = 20.0
+TASKS_PATH = "/v1/tasks"
 MAX_ANSWER_BYTES = 4096
 
 
@@ -28,7 +29,9 @@
     """Upstream whose requests are answered by a script.
 
     `script` gets the number of the request, its body and the writer, and returns
-    whether the connection stays open.
+    whether the connection stays open. Requests that the client of a test cannot have
+    sent are rejected: daemons of tests in other processes go on to call ports of
+    stand-ins that have ended, and the system may assign these again.
     """
 
     def __init__(self, script):
@@ -78,6 +81,9 @@
                 length = int(line.split(":")[1])
         data = await reader.readexactly(length)
         body = json.loads(data) if data else {}
+        if not head.startswith(f"POST {TASKS_PATH}"):
+            writer.write(b"HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n")
+            return False
         self.requests.append((head.split()[1], body))
         return await self.script(len(self.requests), body, writer)
 
@@ -140,7 +146,7 @@
         """Return the outcome of one task at an upstream with this script."""
         async with ScriptedUpstream(script) as upstream:
             answered = await self.run_start(self.build_start(upstream, **fields))
-            self.assertEqual(len(upstream.requests), 1)
+            self.assertEqual(len(upstream.requests), 1, upstream.requests)
         return answered.outcome
 
     async def test_valid_answer(self):
