Count a silent owner as heard when it sent its last message

The time by which runs of entries that were lost with an owner must be over is counted from the last sign of life of the owner. For one that fell silent, paused or cut off, that was the time at which its link was closed as stale, 0.4 to 0.5 s after the last message. Where the takeover itself is slow, an adopted run of a lost entry could be kept for 0.4 s longer than its caller waits.

The new test fails without the change: 100.45 instead of 100.0 for a link that was closed 0.45 s after the last message. The delays of claims still count from the end of the link.

--- a/packages/daemon/carobramp_daemon/cells/coordinator.py
+++ b/packages/daemon/carobramp_daemon/cells/coordinator.py
@@ -68,8 +68,9 @@
 
     owner_silent_since : time since which this daemon has heard no owner, at first its
         start; None while it has a link to one or owns the cell
-    owner_heard_at : time at which the last link to an owner closed or the ownership
-        ended; minus infinity if there was neither
+    owner_heard_at : time at which an owner was last known to be alive: it closed the
+        link or sent the last message, or the ownership ended; minus infinity if there
+        was none
     link : link to a remote owner while one is open or being opened
     known_upstreams : upstreams as last read or received; a new owner starts with them
         without waiting for the store
@@ -268,10 +269,11 @@
                     await self.take_over_if_needed(state)
         finally:
             if link.opened:
-                state.owner_heard_at = (
-                    now() if serving.done() else link.last_received_at
-                )
-                state.owner_silent_since = state.owner_heard_at
+                received_at = link.last_received_at
+                closed_by_peer = serving.done() and not link.close_reason
+                state.owner_heard_at = now() if closed_by_peer else received_at
+                # Claims wait for a time from the end of the link.
+                state.owner_silent_since = now() if serving.done() else received_at
             serving.cancel()
             reason = "the cell has another owner"
             with contextlib.suppress(asyncio.CancelledError):
--- a/packages/daemon/carobramp_daemon/cells/links.py
+++ b/packages/daemon/carobramp_daemon/cells/links.py
@@ -230,6 +230,11 @@
         """Return when the last message was received; minus infinity if none was."""
         return self.link.last_received_at if self.link else float("-inf")
 
+    @property
+    def close_reason(self):
+        """Return why this end closed the link; empty if it is open or the peer did."""
+        return self.link.close_reason if self.link else ""
+
     async def run(self):
         """Connect to the owner and keep the link until it closes; return why it did."""
         loop = asyncio.get_running_loop()
--- a/packages/daemon/carobramp_daemon/tests/test_claim_checks.py
+++ b/packages/daemon/carobramp_daemon/tests/test_claim_checks.py
@@ -1,5 +1,6 @@
 """What a daemon learns of a lost owner before it takes over a cell."""
 
+import asyncio
 import math
 import types
 import unittest
@@ -75,6 +76,44 @@
         self.assertEqual(view.least_peer_silence_s, math.inf)
 
 
+class LastSignOfLifeTests(unittest.IsolatedAsyncioTestCase):
+    """When a daemon counts an owner as last heard, once its link has closed."""
+
+    async def heard_at(self, close_reason):
+        """Return that time for a link that closes 0.45 s after the last message."""
+        state = CellState(CELL, owner_silent_since=90.0)
+        link = mock.Mock(
+            cell=CELL,
+            opened=True,
+            last_received_at=100.0,
+            run=mock.AsyncMock(return_value="closed"),
+            close_reason=close_reason,
+        )
+        table = mock.Mock(
+            wait_for_change=mock.AsyncMock(side_effect=asyncio.Event().wait)
+        )
+        daemon = mock.Mock(table=table, entry_service=mock.Mock(links={}))
+        daemon.rows.cell.return_value = (None, 0)
+        with mock.patch.object(coordinator_module, "now", lambda: 100.45):
+            await CellCoordinator.run_link(daemon, state, link, mock.Mock(token=64))
+        return state
+
+    async def test_owner_that_was_silent(self):
+        """Guards against runs that outlive a lost entry as a silent owner counts.
+
+        The link closes 0.4 s after the last message of a paused or cut off owner; with
+        it, entries may have been lost before.
+        """
+        state = await self.heard_at("no echo from the peer for 0.405 s")
+        self.assertEqual(state.owner_heard_at, 100.0)
+        self.assertEqual(state.owner_silent_since, 100.45)
+
+    async def test_owner_whose_process_has_ended(self):
+        """Guards against runs that are stopped early after the end of an owner."""
+        state = await self.heard_at("")
+        self.assertEqual(state.owner_heard_at, 100.45)
+
+
 class OwnerSilenceTests(unittest.TestCase):
     """The silence of an owner that a daemon reports to its peers."""
 
