Count the silence that peers report from the time of the question

A daemon that takes a cell over asks its peers when they last heard the owner, and beside them some upstreams; then it asks the owner. It counted the silence in the answers from the end of all that. Where upstreams and the owner do not answer, that is up to 0.25 s later than the peers meant, and the leases of unclaimed runs could last that much longer than the callers of a lost entry wait.

The view of a claim now has the time at which peers heard the owner, counted from the question. The new test fails without the change, with 99.75 in place of 98.55; test_restarted_daemon_keeps_runs_that_must_be_over checks the same value as a time.

--- a/packages/core/carobramp_core/cells/claims.py
+++ b/packages/core/carobramp_core/cells/claims.py
@@ -59,8 +59,8 @@
     peers_answered : number of other daemons that answered whether they have a live
         link to the owner
     peers_hearing_owner : number of those that have one
-    least_peer_silence_s : shortest time since one of those last heard the owner;
-        infinite if none ever has
+    peers_heard_owner_at : latest time at which one of those heard the owner; minus
+        infinity if none ever has
     peer_lease_limits : lease limits of the last owner that they know
     uptime_s : time since this daemon started
     draining : whether this daemon is about to stop
@@ -75,7 +75,7 @@
     peers_hearing_owner: int
     uptime_s: float
     draining: bool = False
-    least_peer_silence_s: float = math.inf
+    peers_heard_owner_at: float = -math.inf
     peer_lease_limits: LeaseLimits = LeaseLimits()
 
 
--- a/packages/daemon/carobramp_daemon/cells/claim_checks.py
+++ b/packages/daemon/carobramp_daemon/cells/claim_checks.py
@@ -85,9 +85,13 @@
             rank=len(preceding),
             peers_answered=len(answers),
             peers_hearing_owner=sum(answer.hears for answer in answers),
-            least_peer_silence_s=min(
-                (a.owner_silence_ms / 1000 for a in answers if a.owner_silence_ms),
-                default=math.inf,
+            peers_heard_owner_at=max(
+                (
+                    asked_at - answer.owner_silence_ms / 1000
+                    for answer in answers
+                    if answer.owner_silence_ms
+                ),
+                default=-math.inf,
             ),
             peer_lease_limits=peer_limits,
         )
--- a/packages/daemon/carobramp_daemon/cells/coordinator.py
+++ b/packages/daemon/carobramp_daemon/cells/coordinator.py
@@ -378,7 +378,7 @@
             witnesses=view.peers_answered,
             rank=view.rank,
         )
-        heard_at = max(self.owner_heard_at(state), now() - view.least_peer_silence_s)
+        heard_at = max(self.owner_heard_at(state), view.peers_heard_owner_at)
         lease_limits = state.lease_limits.merge(view.peer_lease_limits)
         predecessor = Predecessor(heard_at, lease_limits)
         await self.claim(state, row, version, predecessor)
--- a/packages/daemon/carobramp_daemon/tests/test_claim_checks.py
+++ b/packages/daemon/carobramp_daemon/tests/test_claim_checks.py
@@ -1,6 +1,7 @@
 """What a daemon learns of a lost owner before it takes over a cell."""
 
 import asyncio
+import itertools
 import math
 import types
 import unittest
@@ -13,7 +14,8 @@
 from carobramp_daemon.cells.claim_checks import ClaimChecks
 from carobramp_daemon.cells.coordinator import CellCoordinator, CellState
 from carobramp_daemon.cells.frames import encode_lease_limits
-from carobramp_daemon.cells.rows import VmRow
+from carobramp_daemon.cells.rows import CellRow, VmRow
+from carobramp_daemon.tests.coordinator_support import coordinator
 from carobramp_schema.generated import cells_pb2 as pb
 
 CELL = "tilburg"
@@ -35,9 +37,11 @@
             pb.OwnerAnswer(vm=f"vm-{n}", owner_silence_ms=silence_ms)
             for n, silence_ms in enumerate(silences_ms, 1)
         ]
+        times = iter((100.0, *(100.0 + 0.15 for _ in answers)))
         checks.ask_peer = mock.AsyncMock(side_effect=answers)
         peers = [vm_row(n) for n in range(1, len(silences_ms) + 1)]
-        return await checks.survey_peers(CELL, None, peers, VIEW)
+        with mock.patch.object(claim_checks, "now", lambda: next(times)):
+            return await checks.survey_peers(CELL, None, peers, VIEW)
 
     async def test_restarted_daemon_keeps_runs_that_must_be_over(self):
         """Guards against leases counted from the start of the new owner.
@@ -46,7 +50,7 @@
         peers have.
         """
         view = await self.survey(0, 700, 450)
-        self.assertEqual(view.least_peer_silence_s, 0.45)
+        self.assertEqual(view.peers_heard_owner_at, 99.55)
 
     async def test_peers_know_the_limits_of_the_last_owner(self):
         """Guards against runs that a restarted daemon prolongs.
@@ -70,10 +74,34 @@
             view = await checks.survey_peers(CELL, None, peers, VIEW)
         self.assertEqual(view.peer_lease_limits, LeaseLimits(128, {"i-2": 100.3}))
 
+    async def test_time_that_the_checks_take(self):
+        """Guards against an owner that counts as alive while the checks go on.
+
+        Upstreams and the owner are asked after the peers, and may not answer in time.
+        """
+        built = coordinator(self)
+        state = built.cells[CELL]
+        state.owner_silent_since = built.started_at = 0.0
+        row = CellRow("vm-3", CELL, "127.0.0.1", 7720, 7721, "c", 64)
+        built.rows.cell = lambda cell: (row, 1)
+        built.claim_checks.ask_peer = mock.AsyncMock(
+            return_value=pb.OwnerAnswer(vm="vm-2", owner_silence_ms=450)
+        )
+        built.rows.vms = lambda: {"vm-2": vm_row(2)}
+        built.any_upstream_answers = mock.AsyncMock(return_value=True)
+        times = itertools.count(100.0, 0.1)
+        built.claim_checks.owner_answers = mock.AsyncMock(return_value=False)
+        with (
+            mock.patch.object(claim_checks, "now", lambda: 99.0),
+            mock.patch.object(coordinator_module, "now", lambda: next(times)),
+        ):
+            await built.take_over_if_needed(state)
+        self.assertEqual(built.owned[CELL].owner.predecessor.heard_at, 98.55)
+
     async def test_silence_that_no_peer_knows(self):
         """Guards against taking an unknown silence for a short one."""
         view = await self.survey(0, 0)
-        self.assertEqual(view.least_peer_silence_s, math.inf)
+        self.assertEqual(view.peers_heard_owner_at, -math.inf)
 
 
 class LastSignOfLifeTests(unittest.IsolatedAsyncioTestCase):
