Measure the delay of timers in both soaks

The stand-in upstreams end leases by timers of the soak's process, so that a violation now comes with the longest delay of a timer, and the test keeps the daemons' logs.

--- a/packages/testing/carobramp_testing/chaos/leased.py
+++ b/packages/testing/carobramp_testing/chaos/leased.py
@@ -24,6 +24,7 @@
 import sys
 
 from carobramp_testing.builders.jobs import leased_job
+from carobramp_testing.chaos.lag import LagMeter
 from carobramp_testing.checker import HTTP_OK, overlapping_runs
 from carobramp_testing.leased import LeasedDeployment
 from carobramp_testing.processes import wait_for
@@ -54,7 +55,6 @@
 }
 # Folder that keeps the logs of runs with a violation.
 FAILURE_LOGS = ".failed-runs"
-LAG_CHECK_S = 0.1
 # Time after the last fault within which every daemon serves again.
 RECOVER_S = 12.0
 KINDS = (
@@ -115,16 +115,13 @@
         self.jobs: list[JobRecord] = []
         self.faults = collections.Counter()
         self.running: set[asyncio.Task] = set()
-        # Longest delay of a timer of this process, which has the store, the workers
-        # and the relays, in seconds.
-        self.max_lag_s = 0.0
+        self.lag = LagMeter()
 
     async def run(self) -> list[str]:
         """Run callers and faults; return the violations."""
-        async with self.deployment:
+        async with self.deployment, self.lag:
             loop = asyncio.get_running_loop()
             callers = asyncio.create_task(self.call())
-            lag = asyncio.create_task(self.measure_lag())
             end = loop.time() + self.seconds
             while loop.time() < end:
                 self.spawn(self.fault(self.rng.choice(KINDS)))
@@ -132,7 +129,6 @@
             callers.cancel()
             await asyncio.gather(*self.running)
             violations = [*await self.check_recovery(), *self.check_runs()]
-            lag.cancel()
             if violations and self.logs:
                 self.keep_logs(violations)
             return violations
@@ -144,14 +140,6 @@
         lines = [self.summary(), *violations]
         (folder / "violations.txt").write_text("\n".join(lines) + "\n")
 
-    async def measure_lag(self):
-        """Measure how late the timers of this process are."""
-        loop = asyncio.get_running_loop()
-        while True:
-            due = loop.time() + LAG_CHECK_S
-            await asyncio.sleep(LAG_CHECK_S)
-            self.max_lag_s = max(self.max_lag_s, loop.time() - due)
-
     def spawn(self, coroutine):
         """Run something beside the rest; `run` waits for it."""
         task = asyncio.create_task(coroutine)
@@ -344,7 +332,7 @@
         crashes = sum(worker.crash_count for worker in self.platform.workers.values())
         return (
             f"{len(self.jobs)} jobs, answers {dict(statuses)}, "
-            f"{crashes} workers crashed, timers late by {self.max_lag_s:.2f} s, "
+            f"{crashes} workers crashed, timers late by {self.lag.max_lag_s:.2f} s, "
             f"faults: {faults}"
         )
 
--- a/packages/testing/carobramp_testing/chaos/successors.py
+++ b/packages/testing/carobramp_testing/chaos/successors.py
@@ -26,6 +26,7 @@
 from collections.abc import Sequence
 
 from carobramp_testing.builders.jobs import leased_job
+from carobramp_testing.chaos.lag import LagMeter
 from carobramp_testing.checker import overlapping_runs
 from carobramp_testing.leased import Daemon, LeasedDeployment
 from carobramp_testing.processes import wait_for
@@ -138,10 +139,11 @@
         self.losses: collections.Counter = collections.Counter()
         self.history: list[str] = []
         self.started_at = 0.0
+        self.lag = LagMeter()
 
     async def run(self) -> list[str]:
         """Run the rounds; return the violations."""
-        async with self.deployment:
+        async with self.deployment, self.lag:
             self.started_at = asyncio.get_running_loop().time()
             violations = []
             for number, plan in enumerate(self.plans):
@@ -159,13 +161,16 @@
         """Copy the daemons' logs, the history and the violations to a folder."""
         folder = pathlib.Path(self.logs, f"successors-{self.name}")
         shutil.copytree(self.deployment.folder.name, folder, dirs_exist_ok=True)
-        lines = [*self.history, *violations]
+        lines = [self.summary(), *self.history, *violations]
         (folder / "violations.txt").write_text("\n".join(lines) + "\n")
 
     def summary(self) -> str:
         """Return the figures of the run as text."""
         losses = ", ".join(f"{kind} {n}" for kind, n in sorted(self.losses.items()))
-        return f"{len(self.plans)} rounds, losses of daemons: {losses}"
+        return (
+            f"{len(self.plans)} rounds, timers late by {self.lag.max_lag_s:.2f} s, "
+            f"losses of daemons: {losses}"
+        )
 
 
 class Round:
--- a/packages/testing/carobramp_testing/tests/test_successors.py
+++ b/packages/testing/carobramp_testing/tests/test_successors.py
@@ -33,7 +33,7 @@
         plan = Plan(0, None, 0.1, AWAY_S, losses, orders_lost=True)
         chaos = SuccessorsChaos(0, [plan], DAEMONS, FAILURE_LOGS)
         violations = await chaos.run()
-        self.assertEqual(violations, [], chaos.history)
+        self.assertEqual(violations, [], [chaos.summary(), *chaos.history])
 
     async def test_short_run_keeps_the_promises(self):
         """Guards against doubled runs while owners are killed, paused and stopped."""
