Send recent cancellations to each owner to which a link opens

The owner of the cell had frozen 0.1 s before; its link still counted as open, and what was written to it was lost with it. The next owner was never told, nor the entry of the job.

Cause: an entry told the owners of the time of the request, and no later one.

--- a/packages/core/carobramp_core/cells/entry.py
+++ b/packages/core/carobramp_core/cells/entry.py
@@ -142,6 +142,11 @@
         known = self.upstreams_by_cell
         return bool(self.cells) and all(cell in self.cells for cell in known)
 
+    def recently_cancelled(self, now) -> dict[str, float]:
+        """Return the jobs that owners should not start, with their cancellations."""
+        oldest = now - self.limits.cancel_retention_s
+        return {k: v for k, v in self.cancelled_jobs.items() if v > oldest}
+
     def members(self, cell, now) -> tuple[str, ...]:
         """Return the upstreams of a cell that may have runs of its earlier owners.
 
@@ -348,9 +353,7 @@
 
 @on_event.register
 def _(event: CancelRequested, entry: Entry, now, effects):
-    oldest = now - entry.limits.cancel_retention_s
-    recent = {k: v for k, v in entry.cancelled_jobs.items() if v > oldest}
-    entry.cancelled_jobs = recent | {event.job_id: now}
+    entry.cancelled_jobs = entry.recently_cancelled(now) | {event.job_id: now}
     open_job = entry.jobs.get(event.job_id)
     if open_job is not None:
         entry.end_job(open_job, Cancelled(), now, effects)
@@ -364,6 +367,9 @@
     if entry.evacuations not in (None, NO_EVACUATIONS):
         # Before the offers, as the owner may be rejected by the store.
         effects.append(SendToOwner(event.cell, entry.evacuations))
+    # The owner that was told of them may have been lost since, or was lost already.
+    for job_id in entry.recently_cancelled(now):
+        effects.append(SendToOwner(event.cell, CancelRequest(job_id)))
     for open_job in list(entry.jobs.values()):
         open_job.unsuitable_cells.pop(event.cell, None)
         for lost in [item for item in open_job.lost_tasks if item.cell == event.cell]:
--- a/packages/core/carobramp_core/cells/tests/test_entry.py
+++ b/packages/core/carobramp_core/cells/tests/test_entry.py
@@ -171,6 +171,20 @@
         expected = [SendToOwner(c, CancelRequest(JOB_ID)) for c in ("breda", "tilburg")]
         self.assertEqual(self.cancel(), expected)
 
+    def test_cancellation_is_lost_with_the_owner_that_was_told(self):
+        """Guards against a job that goes on at the next owner of its cell.
+
+        The owner that was told may have been frozen or cut off already.
+        """
+        self.cancel()
+        self.handle(OwnerLinkClosed("tilburg", self.now))
+        self.now += 0.5
+        effects = self.handle(OwnerLinkOpened("tilburg", 2))
+        self.assertEqual(effects, [SendToOwner("tilburg", CancelRequest(JOB_ID))])
+        self.now += LIMITS.cancel_retention_s
+        self.handle(OwnerLinkClosed("tilburg", self.now))
+        self.assertEqual(self.handle(OwnerLinkOpened("tilburg", 3)), [])
+
     def test_job_that_was_cancelled_elsewhere_is_kept(self):
         """Guards against a caller who waits for a job that was cancelled."""
         cell = self.submit().cell
