Cancel jobs while the cell of a lost zone has no owner

Cause: a daemon did nothing without a link to the owner of every cell that ever had one. Nobody claims a cell none of whose upstreams answers, so that the condition stayed false for as long as the zone was away.

A daemon now cancels the jobs of its own callers whatever links it has. Requests for other jobs reach the owners that can be told, and are acknowledged once each missing owner has been silent for as long as entries wait for its runs. An entry that still has a link to that owner hears of it from the others, which pass the request on to all entries meanwhile. A daemon without any link acknowledges nothing.

--- a/packages/core/carobramp_core/cells/entry.py
+++ b/packages/core/carobramp_core/cells/entry.py
@@ -120,6 +120,8 @@
         # Names of the upstreams of each cell, with the time at which an owner of the
         # cell ceased to list them, infinite for those that are listed.
         self.upstreams_by_cell: dict[str, dict[str, float]] = {}
+        # Time of the last message of the owner of each cell without a link.
+        self.unlinked_since: dict[str, float] = {}
         self.crash_records = CrashRecords()
         # Jobs that callers have cancelled here, with the time of each cancellation.
         self.cancelled_jobs: dict[str, float] = {}
@@ -134,13 +136,25 @@
         on_event(event, self, now, effects)
         return effects
 
-    def is_linked_to_all_cells(self) -> bool:
-        """Return whether there is a link to each cell that ever had an owner.
+    def unlinked_cells(self) -> list[str]:
+        """Return the cells that have had an owner and to which there is no link now.
 
         Only cells to which there ever was a link are known.
         """
-        known = self.upstreams_by_cell
-        return bool(self.cells) and all(cell in self.cells for cell in known)
+        return [cell for cell in self.upstreams_by_cell if cell not in self.cells]
+
+    def can_forward_cancellations(self, now) -> bool:
+        """Return whether a request of this entry stops the job of any other one.
+
+        Every entry that has lost a cell's owner for as long has given up the runs there
+        and offers their tasks to other cells. Entries that still have a link are told
+        by the owners of these.
+        """
+        given_up = now - self.limits.run_end_after_link_loss_s()
+        return bool(self.cells) and all(
+            self.unlinked_since.get(cell, math.inf) <= given_up
+            for cell in self.unlinked_cells()
+        )
 
     def recently_cancelled(self, now) -> dict[str, float]:
         """Return the jobs that owners should not start, with their cancellations."""
@@ -357,13 +371,14 @@
     open_job = entry.jobs.get(event.job_id)
     if open_job is not None:
         entry.end_job(open_job, Cancelled(), now, effects)
-    request = CancelRequest(event.job_id)
+    request = CancelRequest(event.job_id, to_entries=bool(entry.unlinked_cells()))
     effects.extend(SendToOwner(cell, request) for cell in entry.cells)
 
 
 @on_event.register
 def _(event: OwnerLinkOpened, entry: Entry, now, effects):
     entry.cells[event.cell] = CellView(event.token, reported_at=now)
+    entry.unlinked_since.pop(event.cell, None)
     if entry.evacuations not in (None, NO_EVACUATIONS):
         # Before the offers, as the owner may be rejected by the store.
         effects.append(SendToOwner(event.cell, entry.evacuations))
@@ -386,6 +401,7 @@
 def _(event: OwnerLinkClosed, entry: Entry, now, effects):
     if entry.cells.pop(event.cell, None) is None:
         return
+    entry.unlinked_since[event.cell] = event.last_received_at
     over_at = event.last_received_at + entry.limits.run_end_after_link_loss_s()
     job_count = 0
     for open_job in entry.jobs.values():
--- a/packages/core/carobramp_core/cells/event_handlers.py
+++ b/packages/core/carobramp_core/cells/event_handlers.py
@@ -21,6 +21,7 @@
 from carobramp_core.cells.messages import (
     CancelJob,
     CancelRequest,
+    JobCancelled,
     Offer,
     Placement,
     ReturnReason,
@@ -41,6 +42,7 @@
     Rejected,
     RejectReason,
     RunEndKind,
+    SendToAllEntries,
     SendToEntry,
     StartAnswered,
     StopAnswered,
@@ -93,6 +95,8 @@
 
 @on_message.register
 def _(message: CancelRequest, entry, owner, now, effects):
+    if message.to_entries and message.job_id not in owner.entry_by_job:
+        effects.append(SendToAllEntries(JobCancelled(message.job_id)))
     owner.cancel_job(message.job_id, now, effects)
 
 
--- a/packages/core/carobramp_core/cells/messages.py
+++ b/packages/core/carobramp_core/cells/messages.py
@@ -172,9 +172,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CancelRequest:
-    """A caller has cancelled the job, whichever entry has it."""
+    """A caller has cancelled the job, whichever entry has it.
+
+    `to_entries` tells whether the owner passes it on to all entries, if it does not
+    know the entry of the job: the owner of another cell may not have got the request.
+    """
 
     job_id: str
+    to_entries: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/carobramp_core/cells/orders.py
+++ b/packages/core/carobramp_core/cells/orders.py
@@ -12,7 +12,12 @@
 import enum
 
 from carobramp_core.cells.evacuation import EvacuationsRead
-from carobramp_core.cells.messages import ToEntry, ToOwner, UpstreamLosses
+from carobramp_core.cells.messages import (
+    JobCancelled,
+    ToEntry,
+    ToOwner,
+    UpstreamLosses,
+)
 
 
 class UpstreamState(enum.StrEnum):
@@ -273,7 +278,7 @@
 class SendToAllEntries:
     """Effect that sends a message to every entry with a link to the owner."""
 
-    message: UpstreamLosses
+    message: UpstreamLosses | JobCancelled
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/core/carobramp_core/cells/tests/test_owner.py
+++ b/packages/core/carobramp_core/cells/tests/test_owner.py
@@ -24,6 +24,7 @@
     RejectReason,
     RunEndKind,
     RunId,
+    SendToAllEntries,
     SendToEntry,
     StartAnswered,
     StopAnswered,
@@ -623,6 +624,17 @@
         harness.answer_poll(running=[run])
         self.assertEqual(len(stops(self.request(self.item.job_id))), 1)
 
+    def test_job_of_an_entry_that_is_not_linked_to_the_same_owner(self):
+        """Guards against a job that goes on in a cell without a link to the canceller.
+
+        The owner does not know the entry of the job and tells all of them.
+        """
+        told = SendToAllEntries(JobCancelled("0" * 16))
+        for to_entries in (False, True):
+            message = CancelRequest("0" * 16, to_entries)
+            effects = self.harness.handle(EntryMessageReceived("front-2", message))
+            self.assertEqual(told in effects, to_entries)
+
     def test_cancelled_job_is_offered_again(self):
         """Guards against a start after the cancellation was acknowledged."""
         self.request("0" * 16)
--- a/packages/daemon/carobramp_daemon/cells/entry.py
+++ b/packages/daemon/carobramp_daemon/cells/entry.py
@@ -39,8 +39,8 @@
     """What became of the request to cancel a job.
 
     CANCELLED: this entry had the job. FORWARDED: the owners of all cells stop it if
-    there is one. OWNER_UNREACHABLE: nothing was done, as the owner of a cell could not
-    be told.
+    there is one. OWNER_UNREACHABLE: the owner of a cell could not be told, and the job
+    may go on there.
     """
 
     CANCELLED = "cancelled"
@@ -107,11 +107,13 @@
 
     def cancel(self, job_id) -> CancelResult:
         """Cancel a job of this entry or of any other."""
-        if not self.entry.is_linked_to_all_cells():
-            return CancelResult.OWNER_UNREACHABLE
         found = job_id in self.entry.jobs
         self.dispatch(CancelRequested(job_id))
-        return CancelResult.CANCELLED if found else CancelResult.FORWARDED
+        if found:
+            return CancelResult.CANCELLED
+        if self.entry.can_forward_cancellations(now()):
+            return CancelResult.FORWARDED
+        return CancelResult.OWNER_UNREACHABLE
 
     def drain(self, answer_by):
         """Answer every job by a time, after which the process stops."""
--- a/packages/daemon/carobramp_daemon/cells/frames.py
+++ b/packages/daemon/carobramp_daemon/cells/frames.py
@@ -78,7 +78,8 @@
 
 @encode.register
 def _(message: CancelRequest):
-    return pb.Frame(cancel_request=pb.Cancel(job_id=message.job_id))
+    request = pb.Cancel(job_id=message.job_id, to_entries=message.to_entries)
+    return pb.Frame(cancel_request=request)
 
 
 @encode.register
@@ -308,7 +309,7 @@
 DECODERS: dict[str, Callable] = {
     "offer": decode_offer,
     "cancel": lambda cancel: CancelJob(cancel.job_id),
-    "cancel_request": lambda cancel: CancelRequest(cancel.job_id),
+    "cancel_request": lambda body: CancelRequest(body.job_id, body.to_entries),
     "cancelled": lambda cancel: JobCancelled(cancel.job_id),
     "returned": decode_tasks_returned,
     "started": decode_tasks_started,
--- a/packages/daemon/carobramp_daemon/cells/owner.py
+++ b/packages/daemon/carobramp_daemon/cells/owner.py
@@ -225,7 +225,10 @@
             if link is not None:
                 link.send(effect.message)
         elif isinstance(effect, SendToAllEntries):
-            self.send_losses(effect.message)
+            if isinstance(effect.message, UpstreamLosses):
+                self.count_losses(effect.message)
+            for link in list(self.links.values()):
+                link.send(effect.message)
         elif isinstance(effect, LogEvent):
             self.event_log.info(effect.message, cell=self.owner.cell, **effect.fields)
         elif isinstance(effect, CountEvent):
@@ -233,13 +236,11 @@
         elif isinstance(effect, OwnershipLost):
             self.on_ownership_lost(self, effect.upstream)
 
-    def send_losses(self, message: UpstreamLosses):
-        """Count losses of upstreams and send them to all entries."""
+    def count_losses(self, message: UpstreamLosses):
+        """Count losses of upstreams."""
         for loss in message.losses:
             kind = loss.evidence.name.lower()
             self.metrics.increment("runs_lost_with_upstream", kind)
-        for link in list(self.links.values()):
-            link.send(message)
 
     def spawn(self, coroutine):
         """Run a call in a task that is cancelled when this service stops."""
--- a/packages/testing/carobramp_testing/tests/test_cancelled_jobs.py
+++ b/packages/testing/carobramp_testing/tests/test_cancelled_jobs.py
@@ -10,6 +10,7 @@
 from carobramp_testing.leased import LeasedDeployment
 from carobramp_testing.processes import wait_for
 from carobramp_testing.standins.leased import LeasedPlatform
+from carobramp_testing.standins.leased.store import SERVERS
 
 ACKNOWLEDGED = (HTTP_OK, 410)
 # Time after the acknowledgement in which tasks may still start.
@@ -66,5 +67,50 @@
         await self.assert_cancelled(call, time.monotonic())
 
 
+class LostZoneTests(CancelledJobsCase):
+    """One of two zones is lost for good, with its upstreams."""
+
+    async def lose_zone(self):
+        """Lose a zone, and wait until the other one has served without it."""
+        await self.deploy(("tilburg", "breda"), daemons=2)
+        lost = [w for w in self.platform.workers.values() if w.zone == "breda"]
+        await asyncio.gather(*(daemon.end() for daemon in self.daemons("breda")))
+        for worker in lost:
+            del self.platform.workers[worker.name]
+            await worker.stop()
+            await self.platform.store.remove(SERVERS, worker.name)
+        await wait_for(self.zone_is_away)
+
+    async def zone_is_away(self):
+        """Whether each daemon of the other zone has lost its link to the cell."""
+        texts = [await self.deployment.metrics(d) for d in self.daemons()]
+        return all("carobramp_cells_linked 1" in text for text in texts)
+
+    async def cancel_until_acknowledged(self, daemon):
+        """Cancel the job again and again at one daemon, as long as it is rejected."""
+        end = time.monotonic() + CANCEL_S
+        status = 0
+        while status not in ACKNOWLEDGED and time.monotonic() < end:
+            status = await self.deployment.cancel(daemon, JOB_ID)
+            await asyncio.sleep(0.2)
+        self.assertIn(status, ACKNOWLEDGED)
+
+    async def test_job_goes_on_at_its_own_daemon(self):
+        """Guards against a job that cannot be cancelled while a zone is away."""
+        await self.lose_zone()
+        entry, _ = self.daemons()
+        call = await self.submit(entry)
+        self.assertEqual(await self.deployment.cancel(entry, JOB_ID), HTTP_OK)
+        await self.assert_cancelled(call, time.monotonic())
+
+    async def test_job_goes_on_at_another_daemon(self):
+        """Guards against the same where another daemon has the job."""
+        await self.lose_zone()
+        entry, other = self.daemons()
+        call = await self.submit(entry)
+        await self.cancel_until_acknowledged(other)
+        await self.assert_cancelled(call, time.monotonic())
+
+
 if __name__ == "__main__":
     unittest.main()
