--- a/packages/testing/carobramp_testing/tests/test_leased.py
+++ b/packages/testing/carobramp_testing/tests/test_leased.py
@@ -24,6 +24,8 @@
 # Upstreams that may crash under a task before it is given up.
 MAX_CRASHES = 2
 IN_FORCE_S = 2.0
+# Time in which daemons find a store that has moved, and a desired state there.
+SETTLE_S = 5.0
 # Time in which a changed capacity has to be known, as the platform states.
 CAPACITY_NOTICE_S = 3.0
 TASK_CPU = 6800
@@ -136,6 +138,27 @@
         return len(self.platform.runs()) == 4
 
 
+class SettingsTests(LeasedCase):
+    """Settings files that change while the daemons run."""
+
+    async def test_store_moves_without_a_signal(self):
+        """Guards against daemons that stay at the former address of the store."""
+        store = self.platform.store
+        former, address = store.runner, store.address
+        await store.start()
+        for daemon in self.deployment.daemons.values():
+            text = daemon.settings.read_text()
+            daemon.settings.write_text(text.replace(address, store.address))
+        await former.cleanup()
+        await self.platform.configure({**ROUTES, "orders": {}})
+        for daemon in self.deployment.daemons.values():
+
+            async def served(daemon=daemon):
+                return await self.submit(daemon, "orders", tasks=1) == COMPLETED
+
+            await wait_for(served, SETTLE_S)
+
+
 class FaultTests(LeasedCase):
     """Daemons and upstreams that fail."""
 
