Count an owner that hands its cell over as heard by its link

A daemon that is asked to take a cell over counted the owner as alive when it read the request. Where it had been paused meanwhile, the owner and entries with it may have been lost since the request was sent, and their runs got up to 1 s more than their callers wait. Limits that it had received over the link were replaced by those of the late request.

A daemon without a link to that owner counts as before.

--- a/packages/daemon/carobramp_daemon/cells/calls.py
+++ b/packages/daemon/carobramp_daemon/cells/calls.py
@@ -1,9 +1,7 @@
 """gRPC handlers for questions of other daemons about the owners of cells."""
 
 from carobramp_core.cells.lease_limits import (
-    Predecessor,
     report_limits,
-    reported_limits,
 )
 from carobramp_daemon.cells.clock import now
 from carobramp_daemon.cells.frames import (
@@ -59,11 +57,7 @@
             row, version = coordinator.rows.cell(request.cell)
             if row is not None and row.vm == request.vm:
                 state.known_upstreams = tuple(map(decode_upstream, request.upstreams))
-                # The time that the request took is short beside the limits.
-                limits = reported_limits(
-                    decode_lease_limits(request.lease_limits), now()
-                )
-                coordinator.record_lease_limits(state, limits)
-                predecessor = Predecessor(now(), state.lease_limits)
+                report = decode_lease_limits(request.lease_limits)
+                predecessor = coordinator.handover_predecessor(state, report)
                 taken = await coordinator.claim(state, row, version, predecessor)
         await stream.send_message(pb.TakeOverReply(taken=taken))
--- a/packages/daemon/carobramp_daemon/cells/coordinator.py
+++ b/packages/daemon/carobramp_daemon/cells/coordinator.py
@@ -21,6 +21,7 @@
 from carobramp_core.cells.evacuation import Evacuations, EvacuationsRead, newest
 from carobramp_core.cells.lease_limits import (
     LeaseLimits,
+    LeaseLimitsReport,
     Predecessor,
     reported_limits,
 )
@@ -394,6 +395,19 @@
             return state.link.last_received_at
         return state.owner_heard_at
 
+    def handover_predecessor(
+        self, state: CellState, report: LeaseLimitsReport
+    ) -> Predecessor:
+        """Return what is known of an owner that asks this daemon to take a cell over.
+
+        The request may have waited while this process was paused, so that an open link
+        tells better when the owner was alive.
+        """
+        linked = state.name in self.entry_service.links
+        heard_at = self.owner_heard_at(state) if linked else now()
+        limits = reported_limits(report, now())
+        return Predecessor(heard_at, state.lease_limits.merge(limits))
+
     def owner_silence_ms(self, cell) -> int:
         """Return the time since this daemon last heard an owner; 0 if it never has."""
         state = self.cells.get(cell)
--- a/packages/daemon/carobramp_daemon/tests/test_lease_limits.py
+++ b/packages/daemon/carobramp_daemon/tests/test_lease_limits.py
@@ -148,6 +148,25 @@
         await CellRpcHandlers(self.coordinator).TakeCell(stream)
         self.assertEqual(self.limits_of_owner(), LeaseLimits(64, {"i-1": NOW + 0.4}))
 
+    async def test_request_that_waited_while_the_process_was_paused(self):
+        """Guards against an owner that counts as alive when its request is read.
+
+        It may have been lost with entries since it sent the request.
+        """
+        self.state.link = mock.Mock(last_received_at=NOW - 0.9)
+        self.coordinator.entry_service.links = {CELL: mock.Mock()}
+        self.coordinator.record_lease_limits(
+            self.state, LeaseLimits(64, {"i-1": NOW - 0.5})
+        )
+        stream = mock.AsyncMock()
+        stream.recv_message.return_value = pb.TakeOver(
+            cell=CELL, vm="vm-2", lease_limits=frames.encode_lease_limits(REPORT)
+        )
+        await CellRpcHandlers(self.coordinator).TakeCell(stream)
+        predecessor = self.coordinator.owned[CELL].owner.predecessor
+        self.assertEqual(predecessor.heard_at, NOW - 0.9)
+        self.assertEqual(predecessor.lease_limits.latest_end("i-1"), NOW - 0.5)
+
     async def test_request_of_an_owner_that_drains_has_its_limits(self):
         """Guards against the same where the request is written."""
         harness = OwnerHarness(upstream(), taken_over=True, now=NOW)
