--- a/packages/testing/carobramp_testing/chaos/leased.py
+++ b/packages/testing/carobramp_testing/chaos/leased.py
@@ -337,8 +337,8 @@
         )
 
 
-async def run_until_signalled(chaos: LeasedChaos):
-    """Run; a signal to end it ends the processes that it started too."""
+async def run_until_signalled(chaos) -> list[str]:
+    """Run a soak; a signal to end it ends the processes that it started too."""
     running = asyncio.create_task(chaos.run())
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, running.cancel)
--- a/packages/testing/carobramp_testing/chaos/successors.py
+++ b/packages/testing/carobramp_testing/chaos/successors.py
@@ -27,6 +27,7 @@
 
 from carobramp_testing.builders.jobs import leased_job
 from carobramp_testing.chaos.lag import LagMeter
+from carobramp_testing.chaos.leased import FAILURE_LOGS, run_until_signalled
 from carobramp_testing.checker import overlapping_runs
 from carobramp_testing.leased import Daemon, LeasedDeployment
 from carobramp_testing.processes import wait_for
@@ -47,7 +48,6 @@
 KINDS, WEIGHTS = ("kill", "pause", "stop"), (6, 3, 2)
 SUCCESSOR_WAIT_S = 3.0
 POLL_S = 0.005
-FAILURE_LOGS = ".failed-runs"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -314,7 +314,7 @@
     """Run one seed, print its figures and return the number of its violations."""
     plans = draw_plans(seed, options.rounds, options.daemons)
     chaos = SuccessorsChaos(seed, plans, options.daemons, options.logs)
-    violations = asyncio.run(chaos.run())
+    violations = asyncio.run(run_until_signalled(chaos))
     print(f"seed {seed}: {chaos.summary()}", flush=True)
     for violation in violations:
         print(f"violation: {violation}", flush=True)
--- a/packages/testing/carobramp_testing/tests/test_successors.py
+++ b/packages/testing/carobramp_testing/tests/test_successors.py
@@ -3,8 +3,8 @@
 import asyncio
 import unittest
 
+from carobramp_testing.chaos.leased import FAILURE_LOGS
 from carobramp_testing.chaos.successors import (
-    FAILURE_LOGS,
     Loss,
     Plan,
     SuccessorsChaos,
