--- a/packages/testing/carobramp_testing/chaos/successors.py
+++ b/packages/testing/carobramp_testing/chaos/successors.py
@@ -124,14 +124,14 @@
     Parameters
     ==========
 
-    name : number that tells this run from others, at the head of the ids of its jobs
+    run_number : tells this run from others, at the head of the ids of its jobs
     plans : what happens in each round
     daemons : number of daemons in each of the two zones
     logs : folder that keeps the daemons' logs when a check fails
     """
 
-    def __init__(self, name, plans: Sequence[Plan], daemons, logs=None):
-        self.name = name
+    def __init__(self, run_number, plans: Sequence[Plan], daemons, logs=None):
+        self.run_number = run_number
         self.plans = plans
         self.logs = logs
         self.platform = LeasedPlatform(workers=2)
@@ -159,7 +159,7 @@
 
     def keep_logs(self, violations):
         """Copy the daemons' logs, the history and the violations to a folder."""
-        folder = pathlib.Path(self.logs, f"successors-{self.name}")
+        folder = pathlib.Path(self.logs, f"successors-{self.run_number}")
         shutil.copytree(self.deployment.folder.name, folder, dirs_exist_ok=True)
         lines = [self.summary(), *self.history, *violations]
         (folder / "violations.txt").write_text("\n".join(lines) + "\n")
@@ -180,7 +180,7 @@
         self.chaos = chaos
         self.deployment = chaos.deployment
         self.plan = plan
-        self.job_id = f"{chaos.name:08x}{number:08x}"
+        self.job_id = f"{chaos.run_number:08x}{number:08x}"
         self.cell = chaos.platform.zones[plan.zone_number]
         workers = chaos.platform.workers.values()
         self.workers = [worker for worker in workers if worker.zone == self.cell]
